Set up the reactor, the interfaces between topics and the supervisor tree

Cause: an empty repository. Conclusion: the typed names, verdict, claim, membership view, committed command and configuration stand, so that the topics can be built against them.

--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/admission/package-info.java
@@ -0,0 +1,5 @@
+/** The bounded queue of a service: deadlines, load shedding and classes of work. */
+@NullMarked
+package org.verbenawheel.admission;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/claim/ClaimRegister.java
@@ -0,0 +1,39 @@
+package org.verbenawheel.claim;
+
+import java.util.concurrent.CompletableFuture;
+import org.verbenawheel.request.CallerAnswer;
+import org.verbenawheel.request.CallerRequest;
+import org.verbenawheel.request.RunVerdict;
+
+/**
+ * Claims idempotency keys in the replicated state, so that a non-idempotent request runs at most
+ * once through all entries together.
+ */
+public interface ClaimRegister {
+  /**
+   * Claims the key of a request before its first byte is sent to an endpoint.
+   *
+   * @param request a request with an idempotency key
+   * @return what the quorum decided; never fails
+   */
+  CompletableFuture<ClaimOutcome> claim(CallerRequest request);
+
+  /**
+   * Records the answer of a claimed request, for later requests with the same key.
+   *
+   * @param request the claimed request
+   * @param answer the endpoint's whole answer
+   * @return completes when recorded or given up; never fails
+   */
+  CompletableFuture<Void> recordAnswer(CallerRequest request, CallerAnswer answer);
+
+  /**
+   * Records that the attempt at a claimed request ended without an answer.
+   *
+   * @param request the claimed request
+   * @param verdict {@link RunVerdict#NOT_RUN} frees the key; {@link RunVerdict#MAY_HAVE_RUN} keeps
+   *     it
+   * @return completes when recorded or given up; never fails
+   */
+  CompletableFuture<Void> recordFailure(CallerRequest request, RunVerdict verdict);
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/configuration/Configuration.java
@@ -0,0 +1,22 @@
+package org.verbenawheel.configuration;
+
+import com.google.common.collect.ImmutableMap;
+import org.verbenawheel.identity.PoolName;
+import org.verbenawheel.identity.ServiceName;
+
+/**
+ * The whole configuration of a deployment. Immutable; {@code Configurations} checks one before it
+ * is proposed.
+ *
+ * @param deployment the name of the deployment, for people
+ * @param services the services by name
+ * @param pools the pools by name
+ */
+public record Configuration(
+    String deployment,
+    ImmutableMap<ServiceName, ServiceSettings> services,
+    ImmutableMap<PoolName, PoolSettings> pools) {
+  /** The configuration before the first one is accepted: no services, no pools. */
+  public static final Configuration EMPTY =
+      new Configuration("", ImmutableMap.of(), ImmutableMap.of());
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/decision/package-info.java
@@ -0,0 +1,5 @@
+/** A bounded journal of recent decisions with their inputs, for state dumps. */
+@NullMarked
+package org.verbenawheel.decision;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/event/Event.java
@@ -0,0 +1,68 @@
+package org.verbenawheel.event;
+
+import java.util.Locale;
+
+/** Names every event that a process logs. The name in the log is the constant in lower case. */
+public enum Event {
+  /** A supervised part started. */
+  PART_STARTED,
+  /** A supervised part stopped. */
+  PART_STOPPED,
+  /** A supervised part failed and is restarted if the limit allows. */
+  PART_FAILED,
+  /** A process serves now. */
+  PROCESS_READY,
+  /** A process stops in order. */
+  PROCESS_DRAINING,
+  /** A process stopped. */
+  PROCESS_STOPPED,
+
+  /** A caller's request ended with an endpoint's answer. */
+  REQUEST_ANSWERED,
+  /** A caller's request was refused. */
+  REQUEST_REFUSED,
+  /** An attempt at an endpoint failed. */
+  ATTEMPT_FAILED,
+
+  /** A connection to another process opened. */
+  PEER_CONNECTED,
+  /** A connection to another process ended or was given up as silent. */
+  PEER_DISCONNECTED,
+  /** A peer's bytes were not a message. */
+  PEER_MESSAGE_MALFORMED,
+
+  /** An endpoint joined the membership. */
+  ENDPOINT_JOINED,
+  /** An endpoint said that it leaves. */
+  ENDPOINT_LEFT,
+  /** An endpoint's lease ended without a word. */
+  ENDPOINT_EXPIRED,
+
+  /** A replica became leader. */
+  LEADER_ELECTED,
+  /** A leader stopped deciding. */
+  LEADER_STEPPED_DOWN,
+  /** A replica wrote a snapshot and cut its log. */
+  SNAPSHOT_WRITTEN,
+  /** A replica read its state back from disk. */
+  REPLICA_RECOVERED,
+
+  /** A configuration came into force at this process. */
+  CONFIGURATION_IN_FORCE,
+  /** This process could not confirm its configuration for too long. */
+  CONFIGURATION_STALE,
+
+  /** A host moved to the next phase of a move between pools. */
+  HOST_MOVE_PHASE,
+  /** The capacity controller changed how many hosts are powered. */
+  CAPACITY_DECIDED,
+  /** A maintenance wave changed its state. */
+  MAINTENANCE_WAVE,
+  /** A job was placed, refused or moved. */
+  JOB_PLACED;
+
+  /** Returns the name as it stands in a log line. */
+  public String logName() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/event/package-info.java
@@ -0,0 +1,5 @@
+/** Log lines of key=value pairs with a fixed set of event names. */
+@NullMarked
+package org.verbenawheel.event;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/identity/ProcessId.java
@@ -0,0 +1,33 @@
+package org.verbenawheel.identity;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Names one process of the system, an entry or a control replica, as its settings give it.
+ *
+ * @param value the name, as {@link Names#requireName} accepts it
+ */
+public record ProcessId(@JsonValue String value) implements Comparable<ProcessId> {
+
+  /**
+   * Checks the name.
+   *
+   * @throws IllegalArgumentException if the name is empty, too long or has a character that is not
+   *     allowed
+   */
+  @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+  public ProcessId {
+    Names.requireName("ProcessId", value);
+  }
+
+  @Override
+  public int compareTo(ProcessId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/identity/ServiceName.java
@@ -0,0 +1,33 @@
+package org.verbenawheel.identity;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Names a service that callers ask, for example {@code hobart-desk}.
+ *
+ * @param value the name, as {@link Names#requireName} accepts it
+ */
+public record ServiceName(@JsonValue String value) implements Comparable<ServiceName> {
+
+  /**
+   * Checks the name.
+   *
+   * @throws IllegalArgumentException if the name is empty, too long or has a character that is not
+   *     allowed
+   */
+  @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+  public ServiceName {
+    Names.requireName("ServiceName", value);
+  }
+
+  @Override
+  public int compareTo(ServiceName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/peer/package-info.java
@@ -0,0 +1,5 @@
+/** The port through which processes of the system exchange typed messages. */
+@NullMarked
+package org.verbenawheel.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/request/CallerAnswer.java
@@ -0,0 +1,20 @@
+package org.verbenawheel.request;
+
+import org.verbenawheel.identity.EndpointId;
+
+/**
+ * An endpoint's whole answer to one request. Its verdict is always {@link RunVerdict#RAN}.
+ *
+ * @param status the endpoint's HTTP status
+ * @param headers the endpoint's headers that are passed on
+ * @param body the whole body
+ * @param endpoint the endpoint that ran the request
+ */
+public record CallerAnswer(int status, Headers headers, Body body, EndpointId endpoint)
+    implements CallerOutcome {
+
+  @Override
+  public RunVerdict verdict() {
+    return RunVerdict.RAN;
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/verbenawheel/codec/MessageCodecTest.java
@@ -0,0 +1,69 @@
+package org.verbenawheel.codec;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.time.Instant;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.verbenawheel.identity.ServiceName;
+import org.verbenawheel.peer.MessageKinds;
+import org.verbenawheel.peer.PeerMessage;
+import org.verbenawheel.request.Body;
+import org.verbenawheel.request.Headers;
+
+final class MessageCodecTest {
+  private final MessageCodec codec =
+      new MessageCodec(MessageKinds.builder().add(1, Sample.class).build());
+
+  @Test
+  void decodesWhatItEncoded() throws MalformedMessageException {
+    Sample sample =
+        new Sample(
+            new ServiceName("hobart-desk"),
+            Optional.of(Instant.parse("2026-12-04T08:00:00.123456789Z")),
+            Body.ofText("two wheels"),
+            Headers.copyOf(ImmutableMap.of("Accept", ImmutableList.of("a", "b"))),
+            ImmutableMap.of(new ServiceName("members-hub"), 7L));
+    assertThat(codec.decode(codec.encode(sample))).isEqualTo(sample);
+  }
+
+  @Test
+  void decodesAbsentValues() throws MalformedMessageException {
+    Sample sample =
+        new Sample(
+            new ServiceName("s"), Optional.empty(), Body.EMPTY, Headers.NONE, ImmutableMap.of());
+    assertThat(codec.decode(codec.encode(sample))).isEqualTo(sample);
+  }
+
+  @Test
+  void refusesAnUnknownKind() {
+    assertThrows(MalformedMessageException.class, () -> codec.decode(new byte[] {2, (byte) 0x80}));
+  }
+
+  @Test
+  void refusesATruncatedMessage() {
+    byte[] whole =
+        codec.encode(
+            new Sample(
+                new ServiceName("s"),
+                Optional.empty(),
+                Body.ofText("text"),
+                Headers.NONE,
+                ImmutableMap.of()));
+    for (int length = 0; length < whole.length; length++) {
+      byte[] cut = java.util.Arrays.copyOf(whole, length);
+      assertThrows(MalformedMessageException.class, () -> codec.decode(cut));
+    }
+  }
+
+  record Sample(
+      ServiceName service,
+      Optional<Instant> at,
+      Body body,
+      Headers headers,
+      ImmutableMap<ServiceName, Long> counts)
+      implements PeerMessage {}
+}
--- /dev/null
+++ b/wire/src/main/java/org/verbenawheel/wire/package-info.java
@@ -0,0 +1,5 @@
+/** Length-framed MessagePack connections between the system's processes. */
+@NullMarked
+package org.verbenawheel.wire;
+
+import org.jspecify.annotations.NullMarked;
