Interface: claim idempotency keys in the replicated state

Cause: a non-idempotent request must run at most once through all entries. Weighed: a refusal of a key older than the retention window as NOT_RUN against MAY_HAVE_RUN. The first use may have run and is forgotten, so NOT_RUN could be untrue; KeyOutsideWindow carries the verdict, MAY_HAVE_RUN for an old key and NOT_RUN for one from the future. Ruled out: freeing a claim when its holder dies, since the holder may be frozen and send later; it stays MAY_HAVE_RUN. Conclusion: a key is granted to one request only, unless that request says that it was not run.

--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/claim/ClaimCommands.java
@@ -0,0 +1,17 @@
+package org.verbenawheel.claim;
+
+import org.verbenawheel.peer.MessageKinds;
+
+/** Numbers the claim commands and their reply. */
+public final class ClaimCommands {
+  /** The kinds of message of this package. */
+  public static final MessageKinds KINDS =
+      MessageKinds.builder()
+          .add(500, TakeClaim.class)
+          .add(501, RecordAnswer.class)
+          .add(502, RecordFailure.class)
+          .add(510, ClaimReply.class)
+          .build();
+
+  private ClaimCommands() {}
+}
--- a/core/src/main/java/org/verbenawheel/claim/ClaimOutcome.java
+++ b/core/src/main/java/org/verbenawheel/claim/ClaimOutcome.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import org.verbenawheel.identity.ProcessId;
 import org.verbenawheel.request.CallerAnswer;
+import org.verbenawheel.request.RunVerdict;
 
 /** What the quorum decided about a claim of an idempotency key. */
 public sealed interface ClaimOutcome {
@@ -33,9 +34,10 @@
   /**
    * The key was made too long ago, or in the future.
    *
+   * @param verdict what is known about an earlier use of the key
    * @param message what to tell the caller
    */
-  record KeyOutsideWindow(String message) implements ClaimOutcome {}
+  record KeyOutsideWindow(RunVerdict verdict, String message) implements ClaimOutcome {}
 
   /**
    * No quorum decided in time. The request was not sent and must not be.
