--- a/core/src/main/java/org/verbenawheel/request/MalformedKeyException.java
+++ b/core/src/main/java/org/verbenawheel/request/MalformedKeyException.java
@@ -1,10 +1,18 @@
 package org.verbenawheel.request;
 
-/** Thrown when a caller's idempotency key is not one; its message tells the caller what to send. */
+/** Thrown when a caller's idempotency key is not one. */
 public final class MalformedKeyException extends Exception {
   private static final long serialVersionUID = 1L;
 
-  MalformedKeyException(String message, Throwable cause) {
-    super(message, cause);
+  private final String explanation;
+
+  MalformedKeyException(String explanation, Throwable cause) {
+    super(explanation, cause);
+    this.explanation = explanation;
+  }
+
+  /** Returns what is wrong with the key and what the caller should send instead. */
+  public String explanation() {
+    return explanation;
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/verbenawheel/daemon/HttpServerPart.java
@@ -0,0 +1,82 @@
+package org.verbenawheel.daemon;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.net.HostAndPort;
+import io.micronaut.context.ApplicationContext;
+import io.micronaut.runtime.server.EmbeddedServer;
+import java.time.Duration;
+import org.jspecify.annotations.Nullable;
+import org.verbenawheel.supervision.FailureListener;
+import org.verbenawheel.supervision.PartFailedException;
+import org.verbenawheel.supervision.SupervisedPart;
+
+/** Serves a daemon's HTTP interfaces with Micronaut on one address. */
+public final class HttpServerPart implements SupervisedPart {
+  private final HostAndPort address;
+  private final int maximumBodyBytes;
+  private final ImmutableList<Object> singletons;
+  private @Nullable ApplicationContext context;
+
+  /**
+   * Makes a server that is not started.
+   *
+   * @param address the address to listen on, as {@code ip:port}
+   * @param maximumBodyBytes the largest request body read
+   * @param singletons what the controllers are given
+   */
+  public HttpServerPart(String address, int maximumBodyBytes, ImmutableList<Object> singletons) {
+    this.address = HostAndPort.fromString(address);
+    this.maximumBodyBytes = maximumBodyBytes;
+    this.singletons = singletons;
+  }
+
+  @Override
+  public String name() {
+    return "http-server";
+  }
+
+  @Override
+  public void start(FailureListener failures) throws PartFailedException {
+    ApplicationContext starting =
+        ApplicationContext.builder()
+            .banner(false)
+            .deduceEnvironment(false)
+            .enableDefaultPropertySources(false)
+            .properties(properties())
+            .singletons(singletons.toArray())
+            .build();
+    try {
+      starting.start();
+      starting.getBean(EmbeddedServer.class).start();
+    } catch (RuntimeException failed) {
+      starting.stop();
+      throw new PartFailedException(
+          "cannot serve HTTP on " + address + ": is another process using the port?", failed);
+    }
+    context = starting;
+  }
+
+  @Override
+  public void stop(Duration grace) {
+    if (context != null) {
+      context.stop();
+      context = null;
+    }
+  }
+
+  private ImmutableMap<String, Object> properties() {
+    return ImmutableMap.<String, Object>builder()
+        .put("micronaut.application.name", "verbenawheel")
+        .put("micronaut.server.host", address.getHost())
+        .put("micronaut.server.port", address.getPort())
+        .put("micronaut.server.max-request-size", maximumBodyBytes)
+        .put("micronaut.server.netty.max-request-buffer-size", maximumBodyBytes)
+        .put("micronaut.server.thread-selection", "MANUAL")
+        .put("micronaut.server.idle-timeout", "60s")
+        .put("micronaut.server.netty.keep-alive-on-server-error", true)
+        .put("micronaut.netty.event-loops.default.num-threads", 2)
+        .put("netty.default.allocator.max-order", 3)
+        .build();
+  }
+}
