--- a/daemon/src/main/java/org/verbenawheel/entry/HttpEndpointClient.java
+++ b/daemon/src/main/java/org/verbenawheel/entry/HttpEndpointClient.java
@@ -1,6 +1,8 @@
 package org.verbenawheel.entry;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import io.micronaut.http.HttpMethod;
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpResponse;
@@ -90,14 +92,9 @@
    * @param view the present membership
    */
   void onMembership(MembershipView view) {
-    for (EndpointId known : connections.keySet()) {
-      if (!view.endpoints().containsKey(known)) {
-        EndpointConnections gone = connections.remove(known);
-        if (gone != null) {
-          gone.retire();
-        }
-      }
-    }
+    ImmutableSet<EndpointId> gone =
+        Sets.difference(connections.keySet(), view.endpoints().keySet()).immutableCopy();
+    gone.forEach(this::retireConnectionsTo);
   }
 
   /** Returns how often the connections to each endpoint were replaced after silence. */
@@ -107,6 +104,13 @@
     return counts.buildOrThrow();
   }
 
+  private void retireConnectionsTo(EndpointId gone) {
+    EndpointConnections open = connections.remove(gone);
+    if (open != null) {
+      open.retire();
+    }
+  }
+
   private EndpointConnections connectionsTo(EndpointRecord endpoint) {
     return connections.compute(
         endpoint.id(),
--- /dev/null
+++ b/scenarios/src/main/java/org/verbenawheel/fake/FakeEndpoint.java
@@ -0,0 +1,151 @@
+package org.verbenawheel.fake;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.verbenawheel.request.IdempotencyKey;
+import org.verbenawheel.request.RunVerdict;
+
+/**
+ * A small endpoint over HTTP that counts what it is given.
+ *
+ * <p>The query chooses its behaviour: {@code milliseconds=N} runs for that long, {@code status=N}
+ * answers with that status. It echoes the body after the endpoint's name, so that a caller can tell
+ * a whole answer to its own request from any other.
+ */
+public final class FakeEndpoint implements AutoCloseable {
+  private static final int NO_CONTENT_LENGTH = -1;
+
+  private final String name;
+  private final HttpServer server;
+  private final ExecutorService workers = Executors.newCachedThreadPool();
+  private final AtomicInteger running = new AtomicInteger();
+  private final AtomicInteger mostRunning = new AtomicInteger();
+  private final AtomicLong served = new AtomicLong();
+  private final Map<String, Integer> runsByKey = new ConcurrentHashMap<>();
+  private volatile FakeBehaviour behaviour = FakeBehaviour.HEALTHY;
+
+  /**
+   * Starts an endpoint on a loopback port.
+   *
+   * @param name its name in every answer
+   * @param port the port; 0 for any free one
+   * @throws IOException if the port cannot be used
+   */
+  public FakeEndpoint(String name, int port) throws IOException {
+    this.name = name;
+    this.server =
+        HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 0);
+    server.setExecutor(workers);
+    server.createContext("/", this::handle);
+    server.start();
+  }
+
+  /** Returns the address that callers reach it by, as {@code ip:port}. */
+  public String address() {
+    return server.getAddress().getAddress().getHostAddress() + ":" + server.getAddress().getPort();
+  }
+
+  /** Changes how the endpoint treats later requests. */
+  public void behave(FakeBehaviour newBehaviour) {
+    behaviour = newBehaviour;
+  }
+
+  /** Returns how many requests it ran to their end. */
+  public long served() {
+    return served.get();
+  }
+
+  /** Returns how many requests it runs now. */
+  public int running() {
+    return running.get();
+  }
+
+  /** Returns the largest number of requests it ever ran at once. */
+  public int mostRunning() {
+    return mostRunning.get();
+  }
+
+  /** Returns the largest number of times it ran one idempotency key. */
+  public int mostRunsOfOneKey() {
+    return runsByKey.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+  }
+
+  /** Returns how often it ran each idempotency key. */
+  public Map<String, Integer> runsByKey() {
+    return Map.copyOf(runsByKey);
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+    workers.shutdownNow();
+  }
+
+  private void handle(HttpExchange exchange) throws IOException {
+    if (exchange.getRequestURI().getPath().equals("/health/ready")) {
+      respond(exchange, 200, "ready".getBytes(StandardCharsets.UTF_8));
+      return;
+    }
+    byte[] body = exchange.getRequestBody().readAllBytes();
+    if (behaviour == FakeBehaviour.REFUSES_WITHOUT_RUNNING) {
+      exchange.getResponseHeaders().add(RunVerdict.HEADER, RunVerdict.NOT_RUN.name());
+      respond(exchange, 503, new byte[0]);
+      return;
+    }
+    if (behaviour == FakeBehaviour.FAILS_FAST) {
+      respond(exchange, 500, "failed".getBytes(StandardCharsets.UTF_8));
+      return;
+    }
+    run(exchange, body);
+  }
+
+  private void run(HttpExchange exchange, byte[] body) throws IOException {
+    int now = running.incrementAndGet();
+    mostRunning.accumulateAndGet(now, Math::max);
+    countKey(exchange);
+    Map<String, String> query = Query.parse(exchange.getRequestURI().getRawQuery());
+    try {
+      TimeUnit.MILLISECONDS.sleep(Long.parseLong(query.getOrDefault("milliseconds", "0")));
+    } catch (InterruptedException stopping) {
+      Thread.currentThread().interrupt();
+    } finally {
+      running.decrementAndGet();
+      served.incrementAndGet();
+    }
+    respond(exchange, Integer.parseInt(query.getOrDefault("status", "200")), echo(body));
+  }
+
+  private void countKey(HttpExchange exchange) {
+    String key = exchange.getRequestHeaders().getFirst(IdempotencyKey.HEADER);
+    if (key != null) {
+      runsByKey.merge(key, 1, Integer::sum);
+    }
+  }
+
+  private byte[] echo(byte[] body) {
+    byte[] prefix = (name + ":").getBytes(StandardCharsets.UTF_8);
+    byte[] answer = new byte[prefix.length + body.length];
+    System.arraycopy(prefix, 0, answer, 0, prefix.length);
+    System.arraycopy(body, 0, answer, prefix.length, body.length);
+    return answer;
+  }
+
+  private static void respond(HttpExchange exchange, int status, byte[] body) throws IOException {
+    exchange.sendResponseHeaders(status, body.length == 0 ? NO_CONTENT_LENGTH : body.length);
+    if (body.length > 0) {
+      exchange.getResponseBody().write(body);
+    }
+    exchange.close();
+  }
+}
--- /dev/null
+++ b/scenarios/src/main/java/org/verbenawheel/load/CallerResult.java
@@ -0,0 +1,30 @@
+package org.verbenawheel.load;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/**
+ * What a caller got for one request.
+ *
+ * @param status the HTTP status; {@link #NO_STATUS} if no answer came
+ * @param verdict the verdict that the answer carried
+ * @param endpoint the endpoint that ran the request
+ * @param body the body of the answer
+ * @param failure what went wrong if no answer came
+ * @param latencyMicroseconds the time from sending to the whole answer
+ */
+public record CallerResult(
+    int status,
+    Optional<String> verdict,
+    Optional<String> endpoint,
+    byte[] body,
+    String failure,
+    long latencyMicroseconds) {
+  /** The status of a request that got no answer. */
+  public static final int NO_STATUS = 0;
+
+  /** Returns the body read as UTF-8. */
+  public String text() {
+    return new String(body, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/scenarios/src/main/java/org/verbenawheel/load/LoadRequest.java
@@ -0,0 +1,59 @@
+package org.verbenawheel.load;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.verbenawheel.request.IdempotencyKey;
+
+/**
+ * One request that a caller sends.
+ *
+ * @param method the HTTP method
+ * @param path the path and query at the address asked
+ * @param body the body
+ * @param key the idempotency key, if the request has one
+ * @param deadline the deadline to name, if any
+ * @param workMicroseconds how long a healthy endpoint works on it
+ */
+public record LoadRequest(
+    String method,
+    String path,
+    byte[] body,
+    Optional<IdempotencyKey> key,
+    Optional<Duration> deadline,
+    long workMicroseconds) {
+
+  /**
+   * Returns an idempotent request.
+   *
+   * @param path the path and query
+   * @param workMilliseconds how long the endpoint is asked to work
+   */
+  public static LoadRequest get(String path, long workMilliseconds) {
+    return new LoadRequest(
+        "GET",
+        path + "?milliseconds=" + workMilliseconds,
+        new byte[0],
+        Optional.empty(),
+        Optional.empty(),
+        workMilliseconds * 1_000);
+  }
+
+  /**
+   * Returns a non-idempotent request.
+   *
+   * @param path the path
+   * @param key the idempotency key
+   * @param body the body
+   * @param workMilliseconds how long the endpoint is asked to work
+   */
+  public static LoadRequest post(
+      String path, IdempotencyKey key, byte[] body, long workMilliseconds) {
+    return new LoadRequest(
+        "POST",
+        path + "?milliseconds=" + workMilliseconds,
+        body,
+        Optional.of(key),
+        Optional.empty(),
+        workMilliseconds * 1_000);
+  }
+}
