Hold each host's pool and activity in one replicated map

Now the pool is one field of the host, changed by the one command that finishes the move. Each phase is a command with the expected version; a place in the new pool is kept from the request on. Moves, reboots and power share one activity per host, so they never meet. Ruled out: a list of members per pool (the invariant would hold only by care), and one state part per kind of activity (they would race).

--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/pool/HostActivities.java
@@ -0,0 +1,194 @@
+package org.verbenawheel.pool;
+
+import java.util.Optional;
+import java.util.function.Function;
+import org.verbenawheel.identity.PoolName;
+import org.verbenawheel.pool.PoolCommand.AdvanceActivity;
+import org.verbenawheel.pool.PoolCommand.CancelActivity;
+import org.verbenawheel.pool.PoolCommand.FailActivity;
+import org.verbenawheel.pool.PoolCommand.ReportCondition;
+import org.verbenawheel.pool.PoolCommand.StartActivity;
+import org.verbenawheel.pool.PoolReply.HostChanged;
+import org.verbenawheel.replication.ApplyContext;
+
+/**
+ * Decides what a command on a host's activity does. A resend of a command that is in force already
+ * is answered with the host as it is, before its version is looked at.
+ */
+final class HostActivities {
+  private final Function<PoolName, Optional<Integer>> freePlaces;
+  private final ApplyContext context;
+
+  HostActivities(Function<PoolName, Optional<Integer>> freePlaces, ApplyContext context) {
+    this.freePlaces = freePlaces;
+    this.context = context;
+  }
+
+  PoolReply start(HostRecord host, StartActivity command) {
+    if (isCurrent(host, command.activityId()) || hasEnded(host, command.activityId())) {
+      return new HostChanged(host);
+    }
+    if (host.version() != command.expectedVersion()) {
+      return Refusals.versionConflict(host);
+    }
+    if (host.activity().isPresent()) {
+      return Refusals.hostBusy(host);
+    }
+    Optional<PoolReply.Refused> refusal = refuseStart(host, command);
+    if (refusal.isPresent()) {
+      return refusal.get();
+    }
+    Activity activity =
+        new Activity(
+            command.activityId(),
+            command.kind(),
+            ActivityPhase.REQUESTED,
+            command.target(),
+            context.index());
+    return changed(host.withActivity(activity));
+  }
+
+  PoolReply advance(HostRecord host, AdvanceActivity command) {
+    if (hasEnded(host, command.activityId())) {
+      return new HostChanged(host);
+    }
+    if (!isCurrent(host, command.activityId())) {
+      return Refusals.unknownActivity(host, command.activityId());
+    }
+    Activity activity = host.activity().orElseThrow();
+    if (isPast(activity, command.completed())) {
+      return new HostChanged(host);
+    }
+    if (host.version() != command.expectedVersion()) {
+      return Refusals.versionConflict(host);
+    }
+    if (activity.phase() != command.completed()) {
+      return Refusals.notPossible(
+          host,
+          "the activity is in phase " + activity.phase() + ": only that phase can be completed");
+    }
+    return changed(enterNextPhase(host, activity));
+  }
+
+  PoolReply cancel(HostRecord host, CancelActivity command) {
+    if (hasEnded(host, command.activityId())) {
+      return new HostChanged(host);
+    }
+    if (!isCurrent(host, command.activityId())) {
+      return Refusals.unknownActivity(host, command.activityId());
+    }
+    Activity activity = host.activity().orElseThrow();
+    if (activity.phase() == ActivityPhase.RESUMING) {
+      return new HostChanged(host);
+    }
+    if (host.version() != command.expectedVersion()) {
+      return Refusals.versionConflict(host);
+    }
+    if (!activity.phase().isCancellable()) {
+      return Refusals.notCancellable(host);
+    }
+    return changed(cancelled(host, activity));
+  }
+
+  PoolReply fail(HostRecord host, FailActivity command) {
+    if (hasEnded(host, command.activityId())) {
+      return new HostChanged(host);
+    }
+    if (!isCurrent(host, command.activityId())) {
+      return Refusals.unknownActivity(host, command.activityId());
+    }
+    if (host.version() != command.expectedVersion()) {
+      return Refusals.versionConflict(host);
+    }
+    return changed(host.withActivityEnded(command.activityId()).withCondition(HostCondition.LOST));
+  }
+
+  PoolReply report(HostRecord host, ReportCondition command) {
+    if (host.condition() == command.condition()) {
+      return new HostChanged(host);
+    }
+    if (host.version() != command.expectedVersion()) {
+      return Refusals.versionConflict(host);
+    }
+    if (host.activity().isPresent()) {
+      return Refusals.hostBusy(host);
+    }
+    return changed(host.withCondition(command.condition()));
+  }
+
+  private Optional<PoolReply.Refused> refuseStart(HostRecord host, StartActivity command) {
+    return switch (command.kind()) {
+      case MOVE -> refuseMove(host, command);
+      case MAINTAIN, POWER_OFF -> refuseUnless(host, HostCondition.IN_SERVICE);
+      case POWER_ON -> refuseUnless(host, HostCondition.OFF);
+    };
+  }
+
+  private Optional<PoolReply.Refused> refuseMove(HostRecord host, StartActivity command) {
+    if (command.target().isEmpty()) {
+      return Optional.of(Refusals.notPossible(host, "a move needs a target pool: name one"));
+    }
+    PoolName target = command.target().get();
+    if (host.pool().equals(target)) {
+      return Optional.of(Refusals.alreadyInPool(host));
+    }
+    return Refusals.noPlace(target, freePlaces.apply(target));
+  }
+
+  private static Optional<PoolReply.Refused> refuseUnless(
+      HostRecord host, HostCondition condition) {
+    if (host.condition() == condition) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        Refusals.notPossible(
+            host,
+            "host "
+                + host.host()
+                + " is "
+                + host.condition()
+                + ": this activity needs a host that is "
+                + condition));
+  }
+
+  private HostRecord enterNextPhase(HostRecord host, Activity activity) {
+    if (activity.phase() == ActivityPhase.RESUMING) {
+      return host.withActivityEnded(activity.id());
+    }
+    return activity
+        .kind()
+        .phaseAfter(activity.phase())
+        .map(next -> host.withActivity(activity.inPhase(next, context.index())))
+        .orElseGet(
+            () ->
+                activity
+                    .kind()
+                    .finished(host, activity, context.stateTime())
+                    .withActivityEnded(activity.id()));
+  }
+
+  private HostRecord cancelled(HostRecord host, Activity activity) {
+    if (activity.phase() == ActivityPhase.REQUESTED) {
+      return host.withActivityEnded(activity.id());
+    }
+    return host.withActivity(activity.inPhase(ActivityPhase.RESUMING, context.index()));
+  }
+
+  private HostChanged changed(HostRecord host) {
+    return new HostChanged(host.withVersion(context.index()));
+  }
+
+  private static boolean isCurrent(HostRecord host, ActivityId id) {
+    return host.activity().map(Activity::id).filter(id::equals).isPresent();
+  }
+
+  private static boolean hasEnded(HostRecord host, ActivityId id) {
+    return host.lastActivity().filter(id::equals).isPresent();
+  }
+
+  private static boolean isPast(Activity activity, ActivityPhase completed) {
+    return activity.phase() == ActivityPhase.RESUMING
+        ? completed != ActivityPhase.RESUMING
+        : activity.kind().isLater(activity.phase(), completed);
+  }
+}
--- a/core/src/main/java/org/verbenawheel/pool/package-info.java
+++ b/core/src/main/java/org/verbenawheel/pool/package-info.java
@@ -1,4 +1,4 @@
-/** Pools of hosts: each host in exactly one pool, moved in phases. */
+/** The pools and the one map of hosts to pools, with what is being done to each host. */
 @NullMarked
 package org.verbenawheel.pool;
 
