Connect processes by length-framed MessagePack over TCP

Cause: no process could talk to another. PeerNode is a supervised part and the PeerLinks port. One thread serves all connections; both ends prove the shared secret over nonces; a ping each 300 ms finds a connection that is silent for 1.5 s, which is closed and replaced; outstanding requests fail as NOT_RUN if no byte was handed to the connection, else MAY_HAVE_RUN; queues, frames, pending requests and connections are bounded.

Ruled out: two threads for each connection (24 connections at 7 entries and 5 replicas would be 48 threads); one connection shared by both directions (needs a tie break when both dial, and a silent one would take both directions down).

--- a/core/src/main/java/org/verbenawheel/event/Event.java
+++ b/core/src/main/java/org/verbenawheel/event/Event.java
@@ -30,6 +30,10 @@
   PEER_DISCONNECTED,
   /** A peer's bytes were not a message. */
   PEER_MESSAGE_MALFORMED,
+  /** One end of a connection refused the other, for example for a wrong shared secret. */
+  PEER_REFUSED,
+  /** A handler of messages threw an exception. */
+  PEER_HANDLER_FAILED,
 
   /** An endpoint joined the membership. */
   ENDPOINT_JOINED,
--- /dev/null
+++ b/wire/src/main/java/org/verbenawheel/wire/Frame.java
@@ -0,0 +1,51 @@
+package org.verbenawheel.wire;
+
+import java.nio.ByteBuffer;
+
+/**
+ * One frame as read: its type, the correlation number of a request or reply, and the payload.
+ *
+ * <p>On the wire a frame is a 4-byte length of what follows, a 1-byte type, an 8-byte correlation
+ * number and the payload, all big-endian.
+ */
+final class Frame {
+  /** The bytes of the length that starts a frame. */
+  static final int LENGTH_BYTES = Integer.BYTES;
+
+  /** The bytes between the length and the payload. */
+  static final int HEADER_BYTES = Byte.BYTES + Long.BYTES;
+
+  private final FrameType type;
+  private final long correlation;
+  private final byte[] payload;
+
+  Frame(FrameType type, long correlation, byte[] payload) {
+    this.type = type;
+    this.correlation = correlation;
+    this.payload = payload;
+  }
+
+  /** Returns a frame as bytes ready to send. */
+  static ByteBuffer encode(FrameType type, long correlation, byte[] payload) {
+    return ByteBuffer.allocate(LENGTH_BYTES + HEADER_BYTES + payload.length)
+        .putInt(HEADER_BYTES + payload.length)
+        .put(type.number())
+        .putLong(correlation)
+        .put(payload)
+        .flip();
+  }
+
+  FrameType type() {
+    return type;
+  }
+
+  /** Returns the number that ties a reply to its request; zero for other types. */
+  long correlation() {
+    return correlation;
+  }
+
+  /** Returns the encoded message, not copied. */
+  byte[] payload() {
+    return payload;
+  }
+}
