--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/operator/OperatorReply.java
@@ -0,0 +1,113 @@
+package org.verbenawheel.operator;
+
+import com.google.common.base.Joiner;
+import java.util.Optional;
+import org.verbenawheel.configuration.ConfigurationReply;
+import org.verbenawheel.pool.HostRecord;
+import org.verbenawheel.pool.PoolRefusalReason;
+import org.verbenawheel.pool.PoolReply;
+import org.verbenawheel.replication.CommandReply;
+
+/**
+ * Answers an operator's command once it is committed.
+ *
+ * @param outcome what came of it
+ * @param message what happened, in one sentence
+ * @param fix what to try; empty if the command was accepted
+ * @param version the version of the thing that the command names, as it is now
+ */
+public record OperatorReply(Outcome outcome, String message, String fix, Optional<Long> version) {
+
+  /** What came of a command, with the HTTP status that says so. */
+  public enum Outcome {
+    /** The command is in force. */
+    ACCEPTED(200),
+    /** Another command came first; nothing was changed. */
+    CONFLICT(409),
+    /** The state does not allow the command; nothing was changed. */
+    REFUSED(422);
+
+    private final int httpStatus;
+
+    Outcome(int httpStatus) {
+      this.httpStatus = httpStatus;
+    }
+
+    /** Returns the HTTP status of an answer with this outcome. */
+    public int httpStatus() {
+      return httpStatus;
+    }
+  }
+
+  /**
+   * Returns the answer for the reply of a part of the state.
+   *
+   * @param reply the reply to a committed command
+   */
+  public static OperatorReply of(CommandReply reply) {
+    if (reply instanceof ConfigurationReply configurationReply) {
+      return ofConfiguration(configurationReply);
+    }
+    if (reply instanceof PoolReply poolReply) {
+      return ofPool(poolReply);
+    }
+    return accepted(reply.toString(), Optional.empty());
+  }
+
+  private static OperatorReply ofConfiguration(ConfigurationReply reply) {
+    if (reply instanceof ConfigurationReply.Accepted accepted) {
+      return accepted(
+          "configuration accepted as version " + accepted.version(),
+          Optional.of(accepted.version()));
+    }
+    if (reply instanceof ConfigurationReply.Conflict conflict) {
+      return new OperatorReply(
+          Outcome.CONFLICT,
+          "the configuration is at version "
+              + conflict.currentVersion()
+              + ", made by "
+              + conflict.changedBy()
+              + ", not at "
+              + conflict.expectedVersion(),
+          "see what changed with: verbenawheel configuration diff <file>, then apply again",
+          Optional.of(conflict.currentVersion()));
+    }
+    ConfigurationReply.Invalid invalid = (ConfigurationReply.Invalid) reply;
+    return new OperatorReply(
+        Outcome.REFUSED,
+        Joiner.on("; ").join(invalid.problems()),
+        "mend these values and apply again",
+        Optional.empty());
+  }
+
+  private static OperatorReply ofPool(PoolReply reply) {
+    if (reply instanceof PoolReply.HostChanged changed) {
+      return accepted(describe(changed.host()), Optional.of(changed.host().version()));
+    }
+    if (reply instanceof PoolReply.HostRetired retired) {
+      return accepted("host " + retired.host() + " is out of the fleet", Optional.empty());
+    }
+    if (reply instanceof PoolReply.Refused refused) {
+      return new OperatorReply(
+          refused.reason() == PoolRefusalReason.VERSION_CONFLICT
+              ? Outcome.CONFLICT
+              : Outcome.REFUSED,
+          refused.message(),
+          "look at the host with: verbenawheel host list",
+          refused.currentVersion());
+    }
+    return accepted(reply.toString(), Optional.empty());
+  }
+
+  private static String describe(HostRecord host) {
+    String activity =
+        host.activity()
+            .map(present -> ", " + present.kind() + " in phase " + present.phase())
+            .orElse("");
+    return "host " + host.host() + " is in pool " + host.pool() + activity;
+  }
+
+  private static OperatorReply accepted(String message, Optional<Long> version) {
+    return new OperatorReply(Outcome.ACCEPTED, message, "", version);
+  }
+}
