--- a/core/src/main/java/org/verbenawheel/event/Event.java
+++ b/core/src/main/java/org/verbenawheel/event/Event.java
@@ -40,12 +40,20 @@
 
   /** A replica became leader. */
   LEADER_ELECTED,
+  /** A replica took another role than leader, or learned of another leader. */
+  REPLICA_ROLE,
   /** A leader stopped deciding. */
   LEADER_STEPPED_DOWN,
   /** A replica wrote a snapshot and cut its log. */
   SNAPSHOT_WRITTEN,
   /** A replica read its state back from disk. */
   REPLICA_RECOVERED,
+  /** A replica put a snapshot of its leader in the place of its state. */
+  SNAPSHOT_INSTALLED,
+  /** The members of the replicas' cluster changed. */
+  MEMBERS_CHANGED,
+  /** A part of the replicated state threw an unchecked exception on a command. */
+  COMMAND_FAULTED,
 
   /** A configuration came into force at this process. */
   CONFIGURATION_IN_FORCE,
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/replication/CommandEncoding.java
@@ -0,0 +1,57 @@
+package org.verbenawheel.replication;
+
+import java.io.IOException;
+import java.util.Optional;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.verbenawheel.codec.MalformedMessageException;
+import org.verbenawheel.identity.CommandId;
+
+/** Encodes a command and its identity for an entry of the log. */
+final class CommandEncoding {
+  private CommandEncoding() {}
+
+  /** Returns the payload of an entry. */
+  static Payload encode(Optional<CommandId> commandId, Payload command) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      if (commandId.isPresent()) {
+        packer.packString(commandId.get().value());
+      } else {
+        packer.packNil();
+      }
+      packer.packBinaryHeader(command.length());
+      packer.addPayload(command.bytes());
+      return Payload.of(packer.toByteArray());
+    } catch (IOException impossible) {
+      throw new IllegalStateException("packing into memory failed", impossible);
+    }
+  }
+
+  /**
+   * Returns the command that a payload holds.
+   *
+   * @throws MalformedMessageException if the payload holds none
+   */
+  static EncodedCommand decode(Payload payload) throws MalformedMessageException {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(payload.bytes())) {
+      Optional<CommandId> commandId =
+          unpacker.tryUnpackNil()
+              ? Optional.empty()
+              : Optional.of(new CommandId(unpacker.unpackString()));
+      byte[] command = unpacker.readPayload(unpacker.unpackBinaryHeader());
+      return new EncodedCommand(commandId, Payload.of(command));
+    } catch (IOException | MessagePackException | IllegalArgumentException malformed) {
+      throw new MalformedMessageException("command entry cannot be decoded", malformed);
+    }
+  }
+
+  /**
+   * A command of an entry.
+   *
+   * @param commandId the identity of the command, if it has one
+   * @param command the encoded command
+   */
+  record EncodedCommand(Optional<CommandId> commandId, Payload command) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/replication/LogReplay.java
@@ -0,0 +1,62 @@
+package org.verbenawheel.replication;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Collection;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import org.verbenawheel.storage.StorageException;
+
+/** Finds the valid entries after a snapshot from the records of the log's files. */
+final class LogReplay {
+  private final SnapshotPoint snapshot;
+  private final NavigableMap<Long, LogEntry> entries = new TreeMap<>();
+  private long lastReset;
+
+  LogReplay(SnapshotPoint snapshot) {
+    this.snapshot = snapshot;
+  }
+
+  /** Takes the next record. */
+  void add(LogRecord record) {
+    if (record.resetIndex() > 0) {
+      lastReset = record.resetIndex();
+      entries.clear();
+    }
+    for (LogEntry entry : record.entries()) {
+      entries.tailMap(entry.index(), true).clear();
+      entries.put(entry.index(), entry);
+    }
+  }
+
+  /**
+   * Returns the entries after the snapshot.
+   *
+   * @throws StorageException if one is missing
+   */
+  ImmutableList<LogEntry> entries() throws StorageException {
+    if (isOtherHistory()) {
+      return ImmutableList.of();
+    }
+    Collection<LogEntry> after = entries.tailMap(snapshot.index(), false).values();
+    long expected = snapshot.index() + 1;
+    for (LogEntry entry : after) {
+      if (entry.index() != expected) {
+        throw new StorageException(
+            "the log lacks entry "
+                + expected
+                + ": a log or snapshot file is missing. While the other replicas are up, move this"
+                + " data folder away and start the process on an empty one");
+      }
+      expected++;
+    }
+    return ImmutableList.copyOf(after);
+  }
+
+  /** A crash between writing the leader's snapshot and voiding the log leaves the old log. */
+  private boolean isOtherHistory() {
+    LogEntry atSnapshot = entries.get(snapshot.index());
+    return atSnapshot != null
+        && lastReset != snapshot.index()
+        && atSnapshot.term() != snapshot.term();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/replication/SnapshotPoint.java
@@ -0,0 +1,20 @@
+package org.verbenawheel.replication;
+
+import java.time.Instant;
+import java.util.Optional;
+import org.verbenawheel.peer.PeerMessage;
+
+/**
+ * Where in the log a snapshot stands.
+ *
+ * @param index the last entry that it includes; 0 for none
+ * @param term the term of that entry
+ * @param stateTime the state time of that entry
+ * @param members the members of the cluster as of that entry; empty only for index 0
+ */
+public record SnapshotPoint(
+    long index, long term, Instant stateTime, Optional<ClusterMembers> members)
+    implements PeerMessage {
+  /** The point before the first entry. */
+  public static final SnapshotPoint NONE = new SnapshotPoint(0, 0, Instant.EPOCH, Optional.empty());
+}
--- /dev/null
+++ b/core/src/test/java/org/verbenawheel/replication/FakeLinks.java
@@ -0,0 +1,115 @@
+package org.verbenawheel.replication;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.verbenawheel.codec.MalformedMessageException;
+import org.verbenawheel.codec.MessageCodec;
+import org.verbenawheel.identity.ProcessId;
+import org.verbenawheel.peer.PeerHandler;
+import org.verbenawheel.peer.PeerLinks;
+import org.verbenawheel.peer.PeerMessage;
+import org.verbenawheel.peer.PeerUnreachableException;
+import org.verbenawheel.request.RunVerdict;
+
+/** Connects handlers of one test; processes can be cut off, and answers lost. */
+final class FakeLinks implements AutoCloseable {
+  private final Map<ProcessId, PeerHandler> handlers = new ConcurrentHashMap<>();
+  private final Map<ProcessId, ExecutorService> threads = new ConcurrentHashMap<>();
+  private final Set<ProcessId> cutOff = ConcurrentHashMap.newKeySet();
+  private final MessageCodec codec;
+  private volatile boolean losesAnswers;
+
+  FakeLinks(MessageCodec codec) {
+    this.codec = codec;
+  }
+
+  void register(ProcessId process, PeerHandler handler) {
+    handlers.put(process, handler);
+  }
+
+  void cutOff(ProcessId process) {
+    cutOff.add(process);
+  }
+
+  void reconnect(ProcessId process) {
+    cutOff.remove(process);
+  }
+
+  void loseAnswers(boolean value) {
+    losesAnswers = value;
+  }
+
+  /** Returns the links of one process. */
+  PeerLinks of(ProcessId self) {
+    return new PeerLinks() {
+      @Override
+      public CompletableFuture<PeerMessage> request(
+          ProcessId peer, PeerMessage message, Duration timeout) {
+        return ask(self, peer, message, timeout);
+      }
+
+      @Override
+      public void send(ProcessId peer, PeerMessage message) {
+        tell(self, peer, message);
+      }
+    };
+  }
+
+  private CompletableFuture<PeerMessage> ask(
+      ProcessId from, ProcessId to, PeerMessage message, Duration timeout) {
+    PeerHandler handler = handlers.get(to);
+    if (handler == null || isCut(from, to)) {
+      return CompletableFuture.failedFuture(
+          new PeerUnreachableException(to, RunVerdict.NOT_RUN, "no connection"));
+    }
+    CompletableFuture<PeerMessage> reply =
+        handler.onRequest(from, copy(message)).orElseGet(CompletableFuture::new);
+    if (losesAnswers) {
+      return CompletableFuture.failedFuture(
+          new PeerUnreachableException(to, RunVerdict.MAY_HAVE_RUN, "answer lost"));
+    }
+    return reply
+        .thenApply(this::copy)
+        .orTimeout(Math.max(1, timeout.toMillis()), TimeUnit.MILLISECONDS);
+  }
+
+  private void tell(ProcessId from, ProcessId to, PeerMessage message) {
+    PeerHandler handler = handlers.get(to);
+    if (handler == null || isCut(from, to)) {
+      return;
+    }
+    PeerMessage copy = copy(message);
+    threads
+        .computeIfAbsent(to, process -> Executors.newSingleThreadExecutor())
+        .execute(() -> handler.onMessage(from, copy));
+  }
+
+  private boolean isCut(ProcessId from, ProcessId to) {
+    return cutOff.contains(from) || cutOff.contains(to);
+  }
+
+  private PeerMessage copy(PeerMessage message) {
+    try {
+      return codec.decode(codec.encode(message));
+    } catch (MalformedMessageException malformed) {
+      throw new IllegalStateException(malformed);
+    }
+  }
+
+  /** Returns the handler of a process. */
+  Optional<PeerHandler> handlerOf(ProcessId process) {
+    return Optional.ofNullable(handlers.get(process));
+  }
+
+  @Override
+  public void close() {
+    threads.values().forEach(ExecutorService::shutdownNow);
+  }
+}
