Serve requests through an elected dispatcher for each service

One dispatcher, named by rendezvous hashing over the live entries, grants every slot of a service. Entries keep the request and send tickets.

The endpoint client gets a timeout of the time left plus 30 s: the attempt goes on past the caller's deadline, since only its end says that the slot is free.

Tests: RequestPathTest, 11 cases in virtual time.

--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/admission/RunTimes.java
@@ -0,0 +1,73 @@
+package org.verbenawheel.admission;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Learns the run times of each route of one service, and from them the class of its work.
+ *
+ * <p>Declared run times are often wrong, so none are read. Routes are bounded in number: the one
+ * unused for longest is forgotten. Not safe for use by many threads.
+ */
+public final class RunTimes {
+  private static final int MAXIMUM_ROUTES = 1_024;
+  private static final double LONG_ROUTE_SHARE = 0.5;
+  private static final float LOAD_FACTOR = 0.75f;
+
+  private final RunTimeSketch shortRuns = new RunTimeSketch();
+  private final RunTimeSketch longRuns = new RunTimeSketch();
+  private final Map<String, RunTimeSketch> sketches =
+      new LinkedHashMap<>(MAXIMUM_ROUTES, LOAD_FACTOR, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, RunTimeSketch> eldest) {
+          return size() > MAXIMUM_ROUTES;
+        }
+      };
+
+  /**
+   * Adds a run that ended.
+   *
+   * @param route the kind of work
+   * @param runTime how long it ran
+   * @param shortWorkLimit how long short work may run
+   */
+  public void add(String route, Duration runTime, Duration shortWorkLimit) {
+    sketches.computeIfAbsent(route, unknown -> new RunTimeSketch()).add(runTime, shortWorkLimit);
+    boolean isLong = runTime.compareTo(shortWorkLimit) > 0;
+    (isLong ? longRuns : shortRuns).add(runTime, shortWorkLimit);
+  }
+
+  /**
+   * Returns the class of a route's work; unknown routes start as short.
+   *
+   * @param route the kind of work
+   */
+  public WorkLength lengthOf(String route) {
+    RunTimeSketch sketch = sketches.get(route);
+    return sketch != null && sketch.longShare() >= LONG_ROUTE_SHARE
+        ? WorkLength.LONG
+        : WorkLength.SHORT;
+  }
+
+  /**
+   * Returns the mean run time of a route; zero if unknown.
+   *
+   * @param route the kind of work
+   */
+  public Duration meanOf(String route) {
+    RunTimeSketch sketch = sketches.get(route);
+    return sketch == null ? Duration.ZERO : sketch.mean();
+  }
+
+  /**
+   * Returns the mean run time over all runs of a class; zero if unknown.
+   *
+   * @param length the class that the runs proved to be of
+   */
+  public Duration meanOf(WorkLength length) {
+    return (length == WorkLength.LONG ? longRuns : shortRuns).mean();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/dispatch/DispatchNode.java
@@ -0,0 +1,322 @@
+package org.verbenawheel.dispatch;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.verbenawheel.admission.QueueOrder;
+import org.verbenawheel.configuration.ConfigurationSource;
+import org.verbenawheel.configuration.VersionedConfiguration;
+import org.verbenawheel.decision.DecisionJournal;
+import org.verbenawheel.dispatch.DispatchMessages.DispatchMessage;
+import org.verbenawheel.identity.EndpointId;
+import org.verbenawheel.identity.ProcessId;
+import org.verbenawheel.identity.ServiceName;
+import org.verbenawheel.membership.MembershipSource;
+import org.verbenawheel.peer.PeerHandler;
+import org.verbenawheel.peer.PeerLinks;
+import org.verbenawheel.peer.PeerMessage;
+import org.verbenawheel.routing.AttemptKey;
+import org.verbenawheel.routing.AttemptReport;
+import org.verbenawheel.supervision.FailureListener;
+import org.verbenawheel.supervision.PartFailedException;
+import org.verbenawheel.supervision.SupervisedPart;
+import org.verbenawheel.time.MonotonicInstantSource;
+
+/**
+ * Runs the dispatchers that this entry is elected for, and asks other entries' dispatchers for the
+ * slots that this entry needs.
+ *
+ * <p>One thread does it all: the decisions need no locks, and each takes microseconds.
+ */
+public final class DispatchNode implements SupervisedPart, PeerHandler {
+  private static final long TICK_MILLISECONDS = 100;
+
+  private final MembershipSource membership;
+  private final ConfigurationSource configuration;
+  private final PeerLinks links;
+  private final InstantSource clock;
+  private final DecisionJournal journal;
+  private final MetricRegistry metrics;
+  private final ScheduledExecutorService thread;
+  private final EntryDispatch dispatch;
+  private long configurationVersion = -1;
+  private volatile FailureListener failures = failure -> {};
+  private @Nullable Future<?> ticks;
+
+  private DispatchNode(Builder builder) {
+    this.membership = builder.membership;
+    this.configuration = builder.configuration;
+    this.links = builder.links;
+    this.clock = builder.clock;
+    this.journal = builder.journal;
+    this.metrics = builder.metrics;
+    this.thread = builder.thread == null ? newThread() : builder.thread;
+    this.dispatch =
+        new EntryDispatch(builder.self, builder.clock.instant().toEpochMilli(), builder.order);
+    registerGauges();
+    membership.addListener(view -> execute(() -> dispatch.onView(clock.instant(), view)));
+  }
+
+  /**
+   * Returns a builder.
+   *
+   * @param self this entry
+   * @param membership tells the endpoints and the live entries
+   * @param configuration tells the services' settings
+   * @param links sends messages to other entries
+   */
+  public static Builder builder(
+      ProcessId self,
+      MembershipSource membership,
+      ConfigurationSource configuration,
+      PeerLinks links) {
+    return new Builder(self, membership, configuration, links);
+  }
+
+  @Override
+  public String name() {
+    return "dispatch";
+  }
+
+  @Override
+  public void start(FailureListener listener) {
+    failures = listener;
+    execute(() -> dispatch.onView(clock.instant(), membership.view()));
+    ticks =
+        thread.scheduleAtFixedRate(
+            () -> run(this::tick), 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void stop(Duration grace) {
+    Future<?> running = ticks;
+    if (running == null) {
+      return;
+    }
+    running.cancel(false);
+    ticks = null;
+    execute(() -> dispatch.handOverAll(clock.instant()));
+  }
+
+  @Override
+  public void onMessage(ProcessId from, PeerMessage message) {
+    if (message instanceof DispatchMessage dispatchMessage) {
+      execute(() -> dispatch.onMessage(clock.instant(), from, dispatchMessage));
+    }
+  }
+
+  @Override
+  public Optional<CompletableFuture<PeerMessage>> onRequest(ProcessId from, PeerMessage message) {
+    return Optional.empty();
+  }
+
+  /**
+   * Returns the state of this entry's dispatchers and slots, for a dump.
+   *
+   * @return the state, read on the dispatch thread
+   */
+  public CompletableFuture<ImmutableMap<String, Object>> dump() {
+    CompletableFuture<ImmutableMap<String, Object>> dump = new CompletableFuture<>();
+    execute(
+        () ->
+            dump.complete(
+                ImmutableMap.of(
+                    "incarnation", dispatch.incarnation(),
+                    "waiting", dispatch.waiting(),
+                    "held", dispatch.held(),
+                    "dispatchers", dispatch.dump(clock.instant()))));
+    return dump;
+  }
+
+  /** Returns the configuration that the services are run by. */
+  ConfigurationSource configuration() {
+    return configuration;
+  }
+
+  /** Returns the clock that deadlines are compared with. */
+  InstantSource clock() {
+    return clock;
+  }
+
+  /** Returns where counters are registered. */
+  MetricRegistry metrics() {
+    return metrics;
+  }
+
+  /** Asks for a slot. Must be called on the dispatch thread. */
+  CompletableFuture<SlotDecision> ask(
+      ServiceName service,
+      AttemptKey key,
+      String route,
+      Instant deadline,
+      ImmutableSet<EndpointId> avoid) {
+    readConfiguration();
+    CompletableFuture<SlotDecision> decision =
+        dispatch.ask(clock.instant(), service, key, route, deadline, avoid);
+    carryOutEffects();
+    return decision;
+  }
+
+  /** Stops to wait for a slot. Must be called on the dispatch thread. */
+  void withdraw(AttemptKey key) {
+    dispatch.withdraw(clock.instant(), key);
+    carryOutEffects();
+  }
+
+  /** Ends an attempt. Must be called on the dispatch thread. */
+  void release(ServiceName service, AttemptKey key, AttemptReport report) {
+    dispatch.release(clock.instant(), service, key, report);
+    carryOutEffects();
+  }
+
+  /** Runs a task on the dispatch thread. */
+  void execute(Runnable task) {
+    thread.execute(() -> run(task));
+  }
+
+  /** Hands a result to an action on the dispatch thread. */
+  <T> void whenDone(CompletableFuture<T> future, Consumer<T> action) {
+    var unused =
+        future.whenComplete((value, failure) -> execute(() -> handOn(value, failure, action)));
+  }
+
+  private static <T> void handOn(T value, @Nullable Throwable failure, Consumer<T> action) {
+    if (failure != null) {
+      throw new IllegalStateException("a port that never fails did", failure);
+    }
+    action.accept(value);
+  }
+
+  /** Runs a task on the dispatch thread after a while. */
+  Future<?> schedule(Runnable task, Duration delay) {
+    return thread.schedule(() -> run(task), delay.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  private void run(Runnable task) {
+    try {
+      task.run();
+      carryOutEffects();
+    } catch (RuntimeException failure) {
+      failures.onFailure(
+          new PartFailedException("the dispatch thread failed; it is restarted", failure));
+    }
+  }
+
+  private void tick() {
+    readConfiguration();
+    dispatch.onTick(clock.instant());
+  }
+
+  private void readConfiguration() {
+    Optional<VersionedConfiguration> inForce = configuration.inForce(clock.instant());
+    if (inForce.isPresent() && inForce.get().version() != configurationVersion) {
+      configurationVersion = inForce.get().version();
+      dispatch.onConfiguration(clock.instant(), inForce.get().configuration());
+    }
+  }
+
+  private void carryOutEffects() {
+    for (DispatchEffect effect : dispatch.drainEffects()) {
+      if (effect instanceof DispatchEffect.Send send) {
+        links.send(send.to(), send.message());
+      } else if (effect instanceof DispatchEffect.Explain explain) {
+        journal.add(explain.decision());
+      }
+    }
+  }
+
+  private void registerGauges() {
+    Gauge<Integer> waiting = dispatch::waiting;
+    Gauge<Integer> held = dispatch::held;
+    metrics.gauge(MetricRegistry.name("dispatch", "waiting"), () -> waiting);
+    metrics.gauge(MetricRegistry.name("dispatch", "held"), () -> held);
+  }
+
+  private static ScheduledExecutorService newThread() {
+    ScheduledThreadPoolExecutor thread =
+        new ScheduledThreadPoolExecutor(
+            1, new ThreadFactoryBuilder().setNameFormat("dispatch").setDaemon(true).build());
+    thread.setRemoveOnCancelPolicy(true);
+    return thread;
+  }
+
+  /** Builds a node. */
+  public static final class Builder {
+    private static final int JOURNAL_CAPACITY = 1_024;
+
+    private final ProcessId self;
+    private final MembershipSource membership;
+    private final ConfigurationSource configuration;
+    private final PeerLinks links;
+    private InstantSource clock = MonotonicInstantSource.startingNow();
+    private DecisionJournal journal = new DecisionJournal(JOURNAL_CAPACITY);
+    private MetricRegistry metrics = new MetricRegistry();
+    private QueueOrder order = QueueOrder.FIRST_COME;
+    private @Nullable ScheduledExecutorService thread;
+
+    private Builder(
+        ProcessId self,
+        MembershipSource membership,
+        ConfigurationSource configuration,
+        PeerLinks links) {
+      this.self = self;
+      this.membership = membership;
+      this.configuration = configuration;
+      this.links = links;
+    }
+
+    /** Sets the clock; the default is a monotonic clock. */
+    @CanIgnoreReturnValue
+    public Builder clock(InstantSource value) {
+      clock = value;
+      return this;
+    }
+
+    /** Sets where decisions are kept; the default is a journal of its own. */
+    @CanIgnoreReturnValue
+    public Builder journal(DecisionJournal value) {
+      journal = value;
+      return this;
+    }
+
+    /** Sets where counters are registered; the default is a registry of its own. */
+    @CanIgnoreReturnValue
+    public Builder metrics(MetricRegistry value) {
+      metrics = value;
+      return this;
+    }
+
+    /** Sets which waiting ticket of a class goes first. */
+    @CanIgnoreReturnValue
+    public Builder order(QueueOrder value) {
+      order = value;
+      return this;
+    }
+
+    /** Sets the one thread that runs the node; the default is a thread of its own. */
+    @CanIgnoreReturnValue
+    public Builder thread(ScheduledExecutorService value) {
+      thread = value;
+      return this;
+    }
+
+    /** Builds the node, which does nothing before it is started. */
+    public DispatchNode build() {
+      return new DispatchNode(this);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/dispatch/ServedRequest.java
@@ -0,0 +1,319 @@
+package org.verbenawheel.dispatch;
+
+import com.google.common.collect.ImmutableSet;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import org.jspecify.annotations.Nullable;
+import org.verbenawheel.claim.ClaimOutcome;
+import org.verbenawheel.claim.ClaimRegister;
+import org.verbenawheel.event.Event;
+import org.verbenawheel.event.EventLine;
+import org.verbenawheel.identity.EndpointId;
+import org.verbenawheel.membership.EndpointRecord;
+import org.verbenawheel.request.CallerAnswer;
+import org.verbenawheel.request.CallerOutcome;
+import org.verbenawheel.request.CallerRequest;
+import org.verbenawheel.request.Idempotence;
+import org.verbenawheel.request.Refusal;
+import org.verbenawheel.request.RefusalReason;
+import org.verbenawheel.request.RunVerdict;
+import org.verbenawheel.routing.AttemptKey;
+import org.verbenawheel.routing.AttemptOutcome;
+import org.verbenawheel.routing.AttemptReport;
+import org.verbenawheel.routing.AttemptResult;
+import org.verbenawheel.routing.EndpointClient;
+
+/**
+ * One caller's request from its claim to its outcome. All methods run on the dispatch thread.
+ *
+ * <p>An attempt outlives the caller's deadline: it goes on until the endpoint is known free or the
+ * limit for late answers passes, so that its slot is not given away while the endpoint still runs
+ * it, and a late answer can still be recorded for a resend with the same key.
+ */
+final class ServedRequest {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration CLAIM_AGAIN_AFTER = Duration.ofMillis(50);
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+  private static final int MAXIMUM_ATTEMPTS = 3;
+  private static final int FIRST_SERVER_ERROR_STATUS = 500;
+
+  private final CallerRequest request;
+  private final CompletableFuture<CallerOutcome> outcome;
+  private final DispatchNode node;
+  private final EndpointClient client;
+  private final ClaimRegister claims;
+  private final RequestMetrics metrics;
+  private ImmutableSet<EndpointId> failedEndpoints = ImmutableSet.of();
+  private RunVerdict verdict = RunVerdict.NOT_RUN;
+  private Phase phase = Phase.CLAIMING;
+  private int attempts;
+  private @Nullable Future<?> deadlineTimer;
+  private @Nullable Future<?> claimTimer;
+
+  ServedRequest(
+      CallerRequest request,
+      CompletableFuture<CallerOutcome> outcome,
+      DispatchNode node,
+      EndpointClient client,
+      ClaimRegister claims,
+      RequestMetrics metrics) {
+    this.request = request;
+    this.outcome = outcome;
+    this.node = node;
+    this.client = client;
+    this.claims = claims;
+    this.metrics = metrics;
+  }
+
+  /** Starts to serve the request. */
+  void start() {
+    deadlineTimer = node.schedule(this::onDeadline, request.timeLeft(now()));
+    if (isClaimed()) {
+      claim();
+      return;
+    }
+    askForSlot();
+  }
+
+  /** Gives the request up, because its caller hung up. */
+  void cancel() {
+    if (outcome.isDone()) {
+      return;
+    }
+    metrics.countHungUp();
+    giveUp("the caller hung up");
+  }
+
+  private void claim() {
+    phase = Phase.CLAIMING;
+    node.whenDone(claims.claim(request), this::onClaimed);
+  }
+
+  private void onClaimed(ClaimOutcome claimed) {
+    if (claimed instanceof ClaimOutcome.Granted) {
+      onClaimGranted();
+    } else if (outcome.isDone()) {
+      return;
+    } else if (claimed instanceof ClaimOutcome.Answered answered) {
+      finish(answered.answer());
+    } else if (claimed instanceof ClaimOutcome.Held) {
+      phase = Phase.WAITING_FOR_FIRST;
+      claimTimer = node.schedule(this::claimAgain, CLAIM_AGAIN_AFTER);
+    } else if (claimed instanceof ClaimOutcome.MayHaveRun) {
+      finish(
+          Refusal.mayHaveRun(
+              RefusalReason.KEY_IN_USE,
+              "a first request with this idempotency key may have run and its answer is lost;"
+                  + " look at the service for its effect before you use a new key"));
+    } else if (claimed instanceof ClaimOutcome.OtherRequest) {
+      finish(
+          Refusal.notRun(
+              RefusalReason.KEY_REUSED,
+              "this idempotency key was used with another request; make a new key"));
+    } else if (claimed instanceof ClaimOutcome.KeyOutsideWindow outside) {
+      finish(Refusal.notRun(RefusalReason.KEY_EXPIRED, outside.message()));
+    } else if (claimed instanceof ClaimOutcome.Unavailable unavailable) {
+      finish(Refusal.notRun(RefusalReason.NO_QUORUM, unavailable.message(), RETRY_AFTER));
+    }
+  }
+
+  private void onClaimGranted() {
+    if (outcome.isDone()) {
+      recordFailure(RunVerdict.NOT_RUN);
+      return;
+    }
+    askForSlot();
+  }
+
+  private void claimAgain() {
+    if (!outcome.isDone()) {
+      claim();
+    }
+  }
+
+  private void askForSlot() {
+    phase = Phase.WAITING_FOR_SLOT;
+    attempts++;
+    AttemptKey key = currentKey();
+    Instant askedAt = now();
+    node.whenDone(
+        node.ask(request.service(), key, request.route(), request.deadline(), failedEndpoints),
+        decision -> onDecision(key, askedAt, decision));
+  }
+
+  private void onDecision(AttemptKey key, Instant askedAt, SlotDecision decision) {
+    if (decision instanceof SlotDecision.Granted granted) {
+      send(key, askedAt, granted.endpoint());
+    } else if (decision instanceof SlotDecision.Refused refused) {
+      onSlotRefused(refused);
+    }
+  }
+
+  private void send(AttemptKey key, Instant askedAt, EndpointRecord endpoint) {
+    Instant sentAt = now();
+    if (outcome.isDone()) {
+      node.release(request.service(), key, AttemptReport.UNUSED);
+      return;
+    }
+    phase = Phase.SENT;
+    metrics.countAttempt(key.isRetry(), Duration.between(askedAt, sentAt));
+    Duration timeout = request.timeLeft(sentAt).plus(ServiceDispatcher.LATE_ANSWER_LIMIT);
+    node.whenDone(
+        client.send(endpoint, request, timeout),
+        ended -> onAttemptEnded(key, endpoint, sentAt, ended));
+  }
+
+  private void onAttemptEnded(
+      AttemptKey key, EndpointRecord endpoint, Instant sentAt, AttemptOutcome ended) {
+    double milliseconds = Duration.between(sentAt, now()).toNanos() / 1e6;
+    if (ended instanceof AttemptOutcome.Answered answered) {
+      AttemptResult result = resultOf(answered.answer());
+      node.release(request.service(), key, new AttemptReport(milliseconds, result, true));
+      onAnswer(answered.answer());
+    } else if (ended instanceof AttemptOutcome.Failed failed) {
+      AttemptReport report =
+          new AttemptReport(
+              milliseconds,
+              outcome.isDone() ? AttemptResult.UNUSED : AttemptResult.FAILED,
+              failed.kind().endpointKnownFree());
+      node.release(request.service(), key, report);
+      onFailedAttempt(endpoint, failed);
+    }
+  }
+
+  private AttemptResult resultOf(CallerAnswer answer) {
+    if (outcome.isDone()) {
+      return AttemptResult.ANSWERED_LATE;
+    }
+    return answer.status() >= FIRST_SERVER_ERROR_STATUS
+        ? AttemptResult.SERVICE_ERROR
+        : AttemptResult.ANSWERED;
+  }
+
+  private void onAnswer(CallerAnswer answer) {
+    if (isClaimed()) {
+      node.whenDone(claims.recordAnswer(request, answer), recorded -> {});
+    }
+    finish(answer);
+  }
+
+  private void onFailedAttempt(EndpointRecord endpoint, AttemptOutcome.Failed failed) {
+    metrics.countFailedAttempt();
+    logger.atInfo().log(
+        "%s",
+        EventLine.of(Event.ATTEMPT_FAILED)
+            .with("request", request.id())
+            .with("endpoint", endpoint.id())
+            .with("kind", failed.kind())
+            .with("verdict", failed.verdict())
+            .with("reason", failed.message()));
+    verdict = verdict.combine(failed.verdict());
+    failedEndpoints =
+        ImmutableSet.<EndpointId>builder().addAll(failedEndpoints).add(endpoint.id()).build();
+    if (outcome.isDone()) {
+      recordFailure(verdict);
+      return;
+    }
+    if (mayRetry()) {
+      askForSlot();
+      return;
+    }
+    refuse(RefusalReason.ENDPOINT_FAILED, failed.message(), Optional.empty());
+  }
+
+  private boolean mayRetry() {
+    return attempts < MAXIMUM_ATTEMPTS
+        && verdict.mayBeSentAgain(request.idempotence())
+        && !request.timeLeft(now()).isZero();
+  }
+
+  private void onSlotRefused(SlotDecision.Refused refused) {
+    if (!outcome.isDone()) {
+      refuse(refused.reason(), refused.message(), Optional.of(refused.retryAfter()));
+    }
+  }
+
+  private void onDeadline() {
+    if (!outcome.isDone()) {
+      giveUp("the deadline passed");
+    }
+  }
+
+  private void giveUp(String why) {
+    switch (phase) {
+      case CLAIMING ->
+          finish(
+              Refusal.notRun(
+                  RefusalReason.DEADLINE_PASSED, why + " before the claim", RETRY_AFTER));
+      case WAITING_FOR_FIRST ->
+          finish(
+              Refusal.mayHaveRun(
+                  RefusalReason.KEY_IN_USE,
+                  why
+                      + " while a first request with this idempotency key was served;"
+                      + " send it again with the same key"));
+      case WAITING_FOR_SLOT -> {
+        node.withdraw(currentKey());
+        refuse(RefusalReason.DEADLINE_PASSED, why + " in the queue", Optional.of(RETRY_AFTER));
+      }
+      case SENT -> giveUpSent(why);
+    }
+  }
+
+  /** The attempt goes on; what is recorded of its claim waits for its end. */
+  private void giveUpSent(String why) {
+    finish(
+        Refusal.mayHaveRun(
+            RefusalReason.DEADLINE_PASSED,
+            why
+                + " before the whole answer came; a non-idempotent request may be sent again"
+                + " with the same idempotency key"));
+  }
+
+  private void refuse(RefusalReason reason, String message, Optional<Duration> retryAfter) {
+    recordFailure(verdict);
+    finish(new Refusal(reason, verdict, message, retryAfter));
+  }
+
+  private void recordFailure(RunVerdict known) {
+    if (isClaimed()) {
+      node.whenDone(claims.recordFailure(request, known), recorded -> {});
+    }
+  }
+
+  private void finish(CallerOutcome ended) {
+    cancelTimer(deadlineTimer);
+    cancelTimer(claimTimer);
+    outcome.complete(ended);
+  }
+
+  private static void cancelTimer(@Nullable Future<?> timer) {
+    if (timer != null) {
+      timer.cancel(false);
+    }
+  }
+
+  private boolean isClaimed() {
+    return request.idempotence() == Idempotence.NON_IDEMPOTENT;
+  }
+
+  private AttemptKey currentKey() {
+    return new AttemptKey(request.id(), attempts);
+  }
+
+  private Instant now() {
+    return node.clock().instant();
+  }
+
+  /** What the request waits for. */
+  private enum Phase {
+    CLAIMING,
+    WAITING_FOR_FIRST,
+    WAITING_FOR_SLOT,
+    SENT
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/verbenawheel/dispatch/FakeEndpoints.java
@@ -0,0 +1,119 @@
+package org.verbenawheel.dispatch;
+
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.verbenawheel.identity.EndpointId;
+import org.verbenawheel.identity.RequestId;
+import org.verbenawheel.membership.EndpointRecord;
+import org.verbenawheel.request.Body;
+import org.verbenawheel.request.CallerAnswer;
+import org.verbenawheel.request.CallerRequest;
+import org.verbenawheel.request.Headers;
+import org.verbenawheel.request.RunVerdict;
+import org.verbenawheel.routing.AttemptFailure;
+import org.verbenawheel.routing.AttemptOutcome;
+import org.verbenawheel.routing.EndpointClient;
+
+/** Endpoints in virtual time that count what they run. A path's query says how long to run. */
+final class FakeEndpoints implements EndpointClient {
+  private static final Duration LATENCY = Duration.ofMillis(1);
+
+  private final VirtualTime time;
+  private final Map<EndpointId, Fault> faults = new HashMap<>();
+  private final Multiset<EndpointId> running = HashMultiset.create();
+  private final Multiset<RequestId> runs = HashMultiset.create();
+  private int attempts;
+  private int mostRunning;
+
+  FakeEndpoints(VirtualTime time) {
+    this.time = time;
+  }
+
+  void fail(EndpointId endpoint, Fault fault) {
+    faults.put(endpoint, fault);
+  }
+
+  void heal(EndpointId endpoint) {
+    faults.remove(endpoint);
+  }
+
+  int attempts() {
+    return attempts;
+  }
+
+  /** Returns how often a request was run. */
+  int runs(RequestId request) {
+    return runs.count(request);
+  }
+
+  int running() {
+    return running.size();
+  }
+
+  /** Returns the most that one endpoint ever ran at once. */
+  int mostRunning() {
+    return mostRunning;
+  }
+
+  @Override
+  public CompletableFuture<AttemptOutcome> send(
+      EndpointRecord endpoint, CallerRequest request, Duration timeout) {
+    attempts++;
+    CompletableFuture<AttemptOutcome> outcome = new CompletableFuture<>();
+    time.after(LATENCY, () -> receive(endpoint, request, outcome));
+    time.after(
+        timeout, () -> outcome.complete(failed(AttemptFailure.TIMED_OUT, RunVerdict.MAY_HAVE_RUN)));
+    return outcome;
+  }
+
+  private void receive(
+      EndpointRecord endpoint, CallerRequest request, CompletableFuture<AttemptOutcome> outcome) {
+    Fault fault = faults.get(endpoint.id());
+    if (fault == Fault.NOT_CONNECTED) {
+      outcome.complete(failed(AttemptFailure.NOT_CONNECTED, RunVerdict.NOT_RUN));
+      return;
+    }
+    if (fault == Fault.CONNECTION_LOST) {
+      outcome.complete(failed(AttemptFailure.CONNECTION_LOST, RunVerdict.MAY_HAVE_RUN));
+      return;
+    }
+    if (fault == Fault.ERROR_STATUS) {
+      outcome.complete(answer(endpoint, 500));
+      return;
+    }
+    runs.add(request.id());
+    running.add(endpoint.id());
+    mostRunning = Math.max(mostRunning, running.count(endpoint.id()));
+    time.after(
+        runTimeOf(request),
+        () -> {
+          running.remove(endpoint.id());
+          time.after(LATENCY, () -> outcome.complete(answer(endpoint, 200)));
+        });
+  }
+
+  private static AttemptOutcome answer(EndpointRecord endpoint, int status) {
+    return new AttemptOutcome.Answered(
+        new CallerAnswer(status, Headers.NONE, Body.EMPTY, endpoint.id()));
+  }
+
+  private static AttemptOutcome failed(AttemptFailure kind, RunVerdict verdict) {
+    return new AttemptOutcome.Failed(kind, verdict, "fault of the test");
+  }
+
+  private static Duration runTimeOf(CallerRequest request) {
+    String path = request.path();
+    return Duration.ofMillis(Long.parseLong(path.substring(path.indexOf("run=") + 4)));
+  }
+
+  /** How an endpoint fails what it gets. */
+  enum Fault {
+    NOT_CONNECTED,
+    CONNECTION_LOST,
+    ERROR_STATUS
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/verbenawheel/dispatch/RequestPathTest.java
@@ -0,0 +1,183 @@
+package org.verbenawheel.dispatch;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.verbenawheel.admission.QueueOrder;
+import org.verbenawheel.claim.ClaimOutcome;
+import org.verbenawheel.dispatch.FakeEndpoints.Fault;
+import org.verbenawheel.identity.ServiceName;
+import org.verbenawheel.request.CallerAnswer;
+import org.verbenawheel.request.CallerOutcome;
+import org.verbenawheel.request.CallerRequest;
+import org.verbenawheel.request.IdempotencyKey;
+import org.verbenawheel.request.Refusal;
+import org.verbenawheel.request.RefusalReason;
+import org.verbenawheel.request.RunVerdict;
+
+final class RequestPathTest {
+  private static final Duration DEADLINE = Duration.ofSeconds(5);
+
+  private final TestDeployment deployment = new TestDeployment(1, 3, 2, QueueOrder.FIRST_COME);
+
+  @Test
+  void answersThroughEveryEntry() {
+    for (int entry = 0; entry < 3; entry++) {
+      assertThat(serve(entry, "/quote?run=20")).isInstanceOf(CallerAnswer.class);
+    }
+    assertThat(deployment.endpoints.attempts()).isEqualTo(3);
+  }
+
+  @Test
+  void refusesAnUnknownServiceAsNotRun() {
+    CallerRequest known = deployment.request("/quote?run=1", DEADLINE);
+    CallerRequest unknown =
+        new CallerRequest(
+            known.id(),
+            new ServiceName("nobody"),
+            known.method(),
+            known.path(),
+            known.headers(),
+            known.body(),
+            known.idempotencyKey(),
+            known.deadline());
+    assertRefused(
+        outcomeOf(deployment.entry(0).serve(unknown)),
+        RefusalReason.UNKNOWN_SERVICE,
+        RunVerdict.NOT_RUN);
+  }
+
+  @Test
+  void refusesAsNotRunWithoutEndpoints() {
+    deployment.removeEndpoint(TestDeployment.endpoint(0));
+    deployment.removeEndpoint(TestDeployment.endpoint(1));
+    Refusal refusal =
+        assertRefused(serve(0, "/quote?run=1"), RefusalReason.NO_ENDPOINT, RunVerdict.NOT_RUN);
+    assertThat(refusal.retryAfter()).isPresent();
+  }
+
+  @Test
+  void retriesAtAnotherEndpoint() {
+    deployment.endpoints.fail(TestDeployment.endpoint(0), Fault.NOT_CONNECTED);
+    for (int index = 0; index < 5; index++) {
+      assertThat(serve(0, "/quote?run=1")).isInstanceOf(CallerAnswer.class);
+    }
+  }
+
+  @Test
+  void doesNotRetryNonIdempotentWorkThatMayHaveRun() {
+    deployment.endpoints.fail(TestDeployment.endpoint(0), Fault.CONNECTION_LOST);
+    deployment.endpoints.fail(TestDeployment.endpoint(1), Fault.CONNECTION_LOST);
+    IdempotencyKey key = deployment.newKey();
+    assertRefused(
+        outcomeOf(deployment.entry(0).serve(order("/order?run=1", key))),
+        RefusalReason.ENDPOINT_FAILED,
+        RunVerdict.MAY_HAVE_RUN);
+    assertThat(deployment.endpoints.attempts()).isEqualTo(1);
+    assertThat(deployment.claims.stateOf(key)).isInstanceOf(ClaimOutcome.MayHaveRun.class);
+  }
+
+  @Test
+  void freesTheKeyOfWorkThatDidNotRun() {
+    deployment.endpoints.fail(TestDeployment.endpoint(0), Fault.NOT_CONNECTED);
+    deployment.endpoints.fail(TestDeployment.endpoint(1), Fault.NOT_CONNECTED);
+    IdempotencyKey key = deployment.newKey();
+    assertRefused(
+        outcomeOf(deployment.entry(0).serve(order("/order?run=1", key))),
+        RefusalReason.ENDPOINT_FAILED,
+        RunVerdict.NOT_RUN);
+    assertThat(deployment.claims.stateOf(key)).isInstanceOf(ClaimOutcome.Granted.class);
+  }
+
+  @Test
+  void givesAResendTheFirstAnswerThroughAnotherEntry() {
+    IdempotencyKey key = deployment.newKey();
+    CallerRequest first = order("/order?run=300", key);
+    CallerRequest second = order("/order?run=300", key);
+    CompletableFuture<CallerOutcome> firstOutcome = deployment.entry(0).serve(first);
+    CompletableFuture<CallerOutcome> secondOutcome = deployment.entry(1).serve(second);
+    assertThat(outcomeOf(secondOutcome)).isEqualTo(outcomeOf(firstOutcome));
+    assertThat(deployment.endpoints.attempts()).isEqualTo(1);
+  }
+
+  @Test
+  void refusesNonIdempotentWorkAtOnceWithoutAQuorum() {
+    deployment.claims.setAvailable(false);
+    assertRefused(
+        outcomeOf(deployment.entry(0).serve(order("/order?run=1", deployment.newKey()))),
+        RefusalReason.NO_QUORUM,
+        RunVerdict.NOT_RUN);
+    assertThat(serve(0, "/quote?run=1")).isInstanceOf(CallerAnswer.class);
+  }
+
+  @Test
+  void keepsTheSlotOfAnAttemptWhoseCallerHungUp() {
+    List<CallerRequest> filling = new ArrayList<>();
+    for (int index = 0; index < 2 * TestDeployment.SLOTS; index++) {
+      CallerRequest request = deployment.request("/quote?run=2000", DEADLINE);
+      filling.add(request);
+      var unused = deployment.entry(0).serve(request);
+    }
+    deployment.time.pass(Duration.ofMillis(50));
+    filling.forEach(request -> deployment.entry(0).path.cancel(request.id()));
+    CompletableFuture<CallerOutcome> next =
+        deployment.entry(1).serve(deployment.request("/quote?run=1", DEADLINE));
+    deployment.time.pass(Duration.ofMillis(1_500));
+    assertThat(next.isDone()).isFalse();
+    deployment.time.pass(Duration.ofMillis(500));
+    assertThat(next.join()).isInstanceOf(CallerAnswer.class);
+    assertThat(deployment.endpoints.mostRunning()).isEqualTo(TestDeployment.SLOTS);
+  }
+
+  @Test
+  void answersTheDeadlineWithMayHaveRunAndRecordsALateAnswer() {
+    IdempotencyKey key = deployment.newKey();
+    CompletableFuture<CallerOutcome> outcome =
+        deployment.entry(0).serve(order("/order?run=8000", key));
+    deployment.time.pass(Duration.ofMillis(5_100));
+    assertRefused(outcome.join(), RefusalReason.DEADLINE_PASSED, RunVerdict.MAY_HAVE_RUN);
+    deployment.time.pass(Duration.ofSeconds(4));
+    assertThat(deployment.claims.stateOf(key)).isInstanceOf(ClaimOutcome.Answered.class);
+  }
+
+  @Test
+  void drainsWhenNoRequestIsInFlight() {
+    var unused = deployment.entry(0).serve(deployment.request("/quote?run=100", DEADLINE));
+    CompletableFuture<Void> drained = deployment.entry(0).path.drain();
+    deployment.time.pass(Duration.ofMillis(50));
+    assertThat(drained.isDone()).isFalse();
+    assertRefused(serve(0, "/quote?run=1"), RefusalReason.DRAINING, RunVerdict.NOT_RUN);
+    deployment.time.pass(Duration.ofMillis(100));
+    assertThat(drained.isDone()).isTrue();
+  }
+
+  private CallerRequest order(String path, IdempotencyKey key) {
+    return deployment.request(path, DEADLINE, Optional.of(key));
+  }
+
+  private CallerOutcome serve(int entry, String path) {
+    return outcomeOf(deployment.entry(entry).serve(deployment.request(path, DEADLINE)));
+  }
+
+  private CallerOutcome outcomeOf(CompletableFuture<CallerOutcome> outcome) {
+    for (int step = 0; step < 100 && !outcome.isDone(); step++) {
+      deployment.time.pass(Duration.ofMillis(100));
+    }
+    return outcome.getNow(
+        Refusal.notRun(RefusalReason.BAD_REQUEST, "the test saw no outcome at all"));
+  }
+
+  private static Refusal assertRefused(
+      CallerOutcome outcome, RefusalReason reason, RunVerdict verdict) {
+    assertThat(outcome).isInstanceOf(Refusal.class);
+    Refusal refusal = (Refusal) outcome;
+    assertThat(refusal.reason()).isEqualTo(reason);
+    assertThat(refusal.verdict()).isEqualTo(verdict);
+    return refusal;
+  }
+}
