--- a/core/src/main/java/org/verbenawheel/event/Event.java
+++ b/core/src/main/java/org/verbenawheel/event/Event.java
@@ -52,8 +52,12 @@
   /** This process could not confirm its configuration for too long. */
   CONFIGURATION_STALE,
 
-  /** A host moved to the next phase of a move between pools. */
-  HOST_MOVE_PHASE,
+  /** A host completed a phase of a move, a reboot or a change of power, or is held up in it. */
+  HOST_ACTIVITY_PHASE,
+  /** A command on a host was refused or got no reply. */
+  HOST_COMMAND_REFUSED,
+  /** The platform gave no usage report; decisions go on from the last one. */
+  USAGE_REPORT_MISSING,
   /** The capacity controller changed how many hosts are powered. */
   CAPACITY_DECIDED,
   /** A maintenance wave changed its state. */
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/platform/package-info.java
@@ -0,0 +1,5 @@
+/** The port to the platform that powers, leases, drains and reboots hosts and reports usage. */
+@NullMarked
+package org.verbenawheel.platform;
+
+import org.jspecify.annotations.NullMarked;
--- a/core/src/main/java/org/verbenawheel/pool/ActivityKind.java
+++ b/core/src/main/java/org/verbenawheel/pool/ActivityKind.java
@@ -13,29 +13,29 @@
   /** Moves the host to another pool. */
   MOVE(ActivityPhase.REQUESTED, ActivityPhase.DRAINING, ActivityPhase.RELEASED) {
     @Override
-    HostRecord finished(HostRecord host, Activity activity, Instant stateTime) {
-      return activity.target().map(host::withPool).orElse(host);
+    void finish(HostRecord.Builder host, Activity activity, Instant stateTime) {
+      activity.target().ifPresent(host::pool);
     }
   },
   /** Drains and reboots the host where it is, and notes when. */
   MAINTAIN(ActivityPhase.REQUESTED, ActivityPhase.DRAINING, ActivityPhase.REBOOTING) {
     @Override
-    HostRecord finished(HostRecord host, Activity activity, Instant stateTime) {
-      return host.withMaintainedAt(stateTime);
+    void finish(HostRecord.Builder host, Activity activity, Instant stateTime) {
+      host.maintainedAt(stateTime);
     }
   },
   /** Powers the host on. */
   POWER_ON(ActivityPhase.REQUESTED, ActivityPhase.POWERING_ON) {
     @Override
-    HostRecord finished(HostRecord host, Activity activity, Instant stateTime) {
-      return host.withCondition(HostCondition.IN_SERVICE);
+    void finish(HostRecord.Builder host, Activity activity, Instant stateTime) {
+      host.condition(HostCondition.IN_SERVICE);
     }
   },
   /** Drains the host and powers it off. */
   POWER_OFF(ActivityPhase.REQUESTED, ActivityPhase.DRAINING, ActivityPhase.POWERING_OFF) {
     @Override
-    HostRecord finished(HostRecord host, Activity activity, Instant stateTime) {
-      return host.withCondition(HostCondition.OFF);
+    void finish(HostRecord.Builder host, Activity activity, Instant stateTime) {
+      host.condition(HostCondition.OFF);
     }
   };
 
@@ -71,5 +71,5 @@
     return phases.indexOf(phase) > phases.indexOf(other);
   }
 
-  abstract HostRecord finished(HostRecord host, Activity activity, Instant stateTime);
+  abstract void finish(HostRecord.Builder host, Activity activity, Instant stateTime);
 }
--- a/core/src/main/java/org/verbenawheel/pool/HostActivities.java
+++ b/core/src/main/java/org/verbenawheel/pool/HostActivities.java
@@ -45,7 +45,7 @@
             ActivityPhase.REQUESTED,
             command.target(),
             context.index());
-    return changed(host.withActivity(activity));
+    return changed(host.toBuilder().activity(activity));
   }
 
   PoolReply advance(HostRecord host, AdvanceActivity command) {
@@ -100,7 +100,11 @@
     if (host.version() != command.expectedVersion()) {
       return Refusals.versionConflict(host);
     }
-    return changed(host.withActivityEnded(command.activityId()).withCondition(HostCondition.LOST));
+    return changed(
+        host.toBuilder()
+            .activityEnded()
+            .condition(HostCondition.LOST)
+            .lastFailure(failure(host, command)));
   }
 
   PoolReply report(HostRecord host, ReportCondition command) {
@@ -113,7 +117,7 @@
     if (host.activity().isPresent()) {
       return Refusals.hostBusy(host);
     }
-    return changed(host.withCondition(command.condition()));
+    return changed(host.toBuilder().condition(command.condition()));
   }
 
   private Optional<PoolReply.Refused> refuseStart(HostRecord host, StartActivity command) {
@@ -151,31 +155,37 @@
                 + condition));
   }
 
-  private HostRecord enterNextPhase(HostRecord host, Activity activity) {
+  private HostRecord.Builder enterNextPhase(HostRecord host, Activity activity) {
     if (activity.phase() == ActivityPhase.RESUMING) {
-      return host.withActivityEnded(activity.id());
+      return host.toBuilder().activityEnded();
     }
     return activity
         .kind()
         .phaseAfter(activity.phase())
-        .map(next -> host.withActivity(activity.inPhase(next, context.index())))
-        .orElseGet(
-            () ->
-                activity
-                    .kind()
-                    .finished(host, activity, context.stateTime())
-                    .withActivityEnded(activity.id()));
+        .map(next -> host.toBuilder().activity(activity.inPhase(next, context.index())))
+        .orElseGet(() -> finished(host, activity));
   }
 
-  private HostRecord cancelled(HostRecord host, Activity activity) {
+  private HostRecord.Builder finished(HostRecord host, Activity activity) {
+    HostRecord.Builder builder = host.toBuilder().activityEnded();
+    activity.kind().finish(builder, activity, context.stateTime());
+    return builder;
+  }
+
+  private HostRecord.Builder cancelled(HostRecord host, Activity activity) {
     if (activity.phase() == ActivityPhase.REQUESTED) {
-      return host.withActivityEnded(activity.id());
+      return host.toBuilder().activityEnded();
     }
-    return host.withActivity(activity.inPhase(ActivityPhase.RESUMING, context.index()));
+    return host.toBuilder().activity(activity.inPhase(ActivityPhase.RESUMING, context.index()));
+  }
+
+  private ActivityFailure failure(HostRecord host, FailActivity command) {
+    ActivityKind kind = host.activity().orElseThrow().kind();
+    return new ActivityFailure(kind, command.reason(), context.stateTime());
   }
 
-  private HostChanged changed(HostRecord host) {
-    return new HostChanged(host.withVersion(context.index()));
+  private HostChanged changed(HostRecord.Builder host) {
+    return new HostChanged(host.changed(context.index(), context.stateTime()).build());
   }
 
   private static boolean isCurrent(HostRecord host, ActivityId id) {
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/pool/PoolDefinitions.java
@@ -0,0 +1,38 @@
+package org.verbenawheel.pool;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Instant;
+import java.util.function.Supplier;
+import org.verbenawheel.configuration.PoolSettings;
+import org.verbenawheel.configuration.VersionedConfiguration;
+import org.verbenawheel.pool.PoolCommand.DefinePool;
+import org.verbenawheel.replication.ControlCommand;
+
+/** Takes the pools of the accepted configuration over into the state of pools. */
+public final class PoolDefinitions implements FleetDecider {
+  private final Supplier<VersionedConfiguration> accepted;
+
+  /**
+   * Makes a decider.
+   *
+   * @param accepted gives the configuration that was accepted last
+   */
+  public PoolDefinitions(Supplier<VersionedConfiguration> accepted) {
+    this.accepted = accepted;
+  }
+
+  @Override
+  public ImmutableList<ControlCommand> decide(PoolView view, Instant now) {
+    VersionedConfiguration current = accepted.get();
+    return current.configuration().pools().values().stream()
+        .filter(settings -> isNew(view, settings))
+        .map(settings -> new DefinePool(settings, current.version()))
+        .collect(toImmutableList());
+  }
+
+  private static boolean isNew(PoolView view, PoolSettings settings) {
+    return !settings.equals(view.pools().get(settings.name()));
+  }
+}
--- a/core/src/main/java/org/verbenawheel/pool/PoolState.java
+++ b/core/src/main/java/org/verbenawheel/pool/PoolState.java
@@ -156,18 +156,12 @@
     if (refusal.isPresent()) {
       return refusal.get();
     }
-    return store(
-        new PoolReply.HostChanged(
-            new HostRecord(
-                command.host(),
-                command.location(),
-                command.resources(),
-                command.pool(),
-                command.condition(),
-                context.index(),
-                Optional.empty(),
-                Optional.empty(),
-                Optional.empty())));
+    HostRecord host =
+        HostRecord.builder(command.host(), command.location(), command.resources(), command.pool())
+            .condition(command.condition())
+            .changed(context.index(), context.stateTime())
+            .build();
+    return store(new PoolReply.HostChanged(host));
   }
 
   private static boolean isSameHost(HostRecord present, RegisterHost command) {
