--- a/core/src/main/java/org/verbenawheel/event/Event.java
+++ b/core/src/main/java/org/verbenawheel/event/Event.java
@@ -44,20 +44,32 @@
 
   /** A replica became leader. */
   LEADER_ELECTED,
+  /** A replica took another role than leader, or learned of another leader. */
+  REPLICA_ROLE,
   /** A leader stopped deciding. */
   LEADER_STEPPED_DOWN,
   /** A replica wrote a snapshot and cut its log. */
   SNAPSHOT_WRITTEN,
   /** A replica read its state back from disk. */
   REPLICA_RECOVERED,
+  /** A replica put a snapshot of its leader in the place of its state. */
+  SNAPSHOT_INSTALLED,
+  /** The members of the replicas' cluster changed. */
+  MEMBERS_CHANGED,
+  /** A part of the replicated state threw an unchecked exception on a command. */
+  COMMAND_FAULTED,
 
   /** A configuration came into force at this process. */
   CONFIGURATION_IN_FORCE,
   /** This process could not confirm its configuration for too long. */
   CONFIGURATION_STALE,
 
-  /** A host moved to the next phase of a move between pools. */
-  HOST_MOVE_PHASE,
+  /** A host completed a phase of a move, a reboot or a change of power, or is held up in it. */
+  HOST_ACTIVITY_PHASE,
+  /** A command on a host was refused or got no reply. */
+  HOST_COMMAND_REFUSED,
+  /** The platform gave no usage report; decisions go on from the last one. */
+  USAGE_REPORT_MISSING,
   /** The capacity controller changed how many hosts are powered. */
   CAPACITY_DECIDED,
   /** A maintenance wave changed its state. */
