--- /dev/null
+++ b/command/src/main/java/org/verbenawheel/command/Output.java
@@ -0,0 +1,60 @@
+package org.verbenawheel.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.PrintStream;
+import org.verbenawheel.codec.MessageCodec;
+
+/**
+ * Prints a command's result on standard output, as text for people or as JSON for programs, and
+ * everything else on standard error.
+ */
+final class Output {
+  /** The forms that {@code --output} names. */
+  enum Format {
+    /** Tables and sentences. */
+    TEXT,
+    /** One JSON value. */
+    JSON
+  }
+
+  private static final ObjectMapper MAPPER = MessageCodec.jsonMapper();
+
+  private final Format format;
+  private final PrintStream standardOutput;
+  private final PrintStream standardError;
+
+  Output(Format format, PrintStream standardOutput, PrintStream standardError) {
+    this.format = format;
+    this.standardOutput = standardOutput;
+    this.standardError = standardError;
+  }
+
+  /**
+   * Prints the result.
+   *
+   * @param text for people
+   * @param value for programs
+   */
+  void result(Object text, Object value) {
+    String printed = format == Format.TEXT ? text.toString() : json(value);
+    standardOutput.println(printed.stripTrailing());
+  }
+
+  /**
+   * Prints a note that is not part of the result.
+   *
+   * @param text one line
+   */
+  void note(String text) {
+    standardError.println(text);
+  }
+
+  private static String json(Object value) {
+    try {
+      return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(value);
+    } catch (JsonProcessingException unwritable) {
+      throw new IllegalArgumentException("cannot write " + value.getClass(), unwritable);
+    }
+  }
+}
--- a/command/src/main/java/org/verbenawheel/command/package-info.java
+++ b/command/src/main/java/org/verbenawheel/command/package-info.java
@@ -1,4 +1,4 @@
-/** The operators' command line. */
+/** The operators' command line, and the client of the operators' HTTP API that it stands on. */
 @NullMarked
 package org.verbenawheel.command;
 
