Command line: status, configuration, service, pool, host and dump

Each command has help, documented exit codes, text and JSON output; a command that changes something carries an identity and says 'already done' on a resend (an accepted version that stood before it was sent). configuration apply asks for the version that the file was made from, so that no operator's change is lost silently. Class: org.verbenawheel.command.Main. The blocking client decodes the body of an error as its own type unless told otherwise, which left the reason empty; both types are text now.

--- /dev/null
+++ b/command/src/main/java/org/verbenawheel/command/CommandCatalog.java
@@ -0,0 +1,53 @@
+package org.verbenawheel.command;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.Optional;
+
+/** Lists the commands and finds the one that was typed. */
+final class CommandCatalog {
+  private final ImmutableList<Command> commands;
+
+  CommandCatalog(ImmutableList<Command> commands) {
+    this.commands = commands;
+  }
+
+  /** Returns the commands of the command line. */
+  static CommandCatalog standard() {
+    return new CommandCatalog(
+        ImmutableList.of(
+            new StatusCommand(),
+            new ConfigurationShowCommand(),
+            new ConfigurationApplyCommand(),
+            new ConfigurationHistoryCommand(),
+            new ConfigurationDiffCommand(),
+            new ServiceListCommand(),
+            new PoolListCommand(),
+            new PoolCreateCommand(),
+            new PoolMoveCommand(),
+            new HostListCommand(),
+            new HostRegisterCommand(),
+            new HostRetireCommand(),
+            new DumpCommand()));
+  }
+
+  /** Returns the commands in the order of the help. */
+  ImmutableList<Command> commands() {
+    return commands;
+  }
+
+  /**
+   * Returns the command whose words the arguments start with.
+   *
+   * @param arguments what was typed
+   */
+  Optional<Command> find(List<String> arguments) {
+    return commands.stream()
+        .filter(command -> startsWith(arguments, command.definition().words()))
+        .findFirst();
+  }
+
+  private static boolean startsWith(List<String> arguments, ImmutableList<String> words) {
+    return arguments.size() >= words.size() && arguments.subList(0, words.size()).equals(words);
+  }
+}
--- a/command/src/main/java/org/verbenawheel/command/CommandContext.java
+++ b/command/src/main/java/org/verbenawheel/command/CommandContext.java
@@ -89,6 +89,16 @@
         "give a whole number from " + lowest + " to " + highest);
   }
 
+  /**
+   * Returns the value of an option as a whole number; the option must be given.
+   *
+   * @throws CommandFailedException if it is absent or not a whole number within the bounds
+   */
+  long requiredNumberOption(String name, long lowest, long highest) throws CommandFailedException {
+    return numberOption(name, lowest, highest)
+        .orElseThrow(() -> badInput("--" + name + " is absent", "give --" + name));
+  }
+
   /** Returns who asks. */
   String operator() {
     return option(GlobalOptions.OPERATOR).orElse(System.getProperty("user.name", "unknown"));
--- /dev/null
+++ b/command/src/main/java/org/verbenawheel/command/ConfigurationHistoryCommand.java
@@ -0,0 +1,39 @@
+package org.verbenawheel.command;
+
+import com.google.common.collect.ImmutableList;
+import org.apache.commons.cli.Options;
+import org.verbenawheel.configuration.ConfigurationChange;
+import org.verbenawheel.configuration.ConfigurationDelta;
+
+/** Lists the recent changes of the configuration. */
+final class ConfigurationHistoryCommand implements Command {
+  @Override
+  public CommandDefinition definition() {
+    return CommandDefinition.of(
+        "configuration history",
+        "Lists the recent changes: version, when, who, and what was changed.",
+        new Options());
+  }
+
+  @Override
+  public void run(CommandContext context) throws CommandFailedException {
+    ImmutableList<ConfigurationChange> changes = context.client().configurationHistory();
+    Table table = new Table("version", "accepted", "operator", "services", "pools");
+    changes.forEach(change -> addRow(table, change));
+    context.output().result(table, changes);
+  }
+
+  private static void addRow(Table table, ConfigurationChange change) {
+    ConfigurationDelta delta = change.delta();
+    table.add(
+        change.version(),
+        change.acceptedAt(),
+        change.operator(),
+        summary(delta.changedServices().size(), delta.removedServices().size()),
+        summary(delta.changedPools().size(), delta.removedPools().size()));
+  }
+
+  private static String summary(int changed, int removed) {
+    return changed + " changed, " + removed + " removed";
+  }
+}
--- a/command/src/main/java/org/verbenawheel/command/ControlCalls.java
+++ b/command/src/main/java/org/verbenawheel/command/ControlCalls.java
@@ -3,6 +3,7 @@
 import com.google.common.base.Throwables;
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
+import io.micronaut.core.type.Argument;
 import io.micronaut.http.HttpMethod;
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpResponse;
@@ -12,6 +13,7 @@
 import io.micronaut.http.client.HttpClient;
 import io.micronaut.http.client.HttpClientConfiguration;
 import io.micronaut.http.client.exceptions.HttpClientException;
+import io.micronaut.http.client.exceptions.HttpClientResponseException;
 import java.net.ConnectException;
 import java.net.MalformedURLException;
 import java.net.NoRouteToHostException;
@@ -29,6 +31,7 @@
 final class ControlCalls implements AutoCloseable {
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
+  private static final Argument<String> TEXT = Argument.of(String.class);
   private static final long PAUSE_MILLISECONDS = 200;
   private static final int MAXIMUM_ANSWER_BYTES = 64 << 20;
 
@@ -109,13 +112,18 @@
         HttpRequest.<String>create(method, path).bearerAuth(token).accept(MediaType.ALL);
     body.ifPresent(text -> request.contentType(MediaType.APPLICATION_JSON_TYPE).body(text));
     try {
-      HttpResponse<String> response = client(address).toBlocking().exchange(request, String.class);
-      return new CallResult.Answered(response.getStatus().getCode(), response.getBody().orElse(""));
+      return answered(client(address).toBlocking().exchange(request, TEXT, TEXT));
+    } catch (HttpClientResponseException refused) {
+      return answered(refused.getResponse());
     } catch (HttpClientException failed) {
       return failure(failed);
     }
   }
 
+  private static CallResult answered(HttpResponse<?> response) {
+    return new CallResult.Answered(response.code(), response.getBody(TEXT).orElse(""));
+  }
+
   private static CallResult failure(HttpClientException failed) {
     Throwable root = Throwables.getRootCause(failed);
     String reason = String.valueOf(root.getMessage());
--- /dev/null
+++ b/command/src/test/java/org/verbenawheel/command/FakeControl.java
@@ -0,0 +1,179 @@
+package org.verbenawheel.command;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.net.InetAddresses;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.verbenawheel.codec.MessageCodec;
+import org.verbenawheel.configuration.ConfigurationDocuments;
+import org.verbenawheel.configuration.ConfigurationRequest;
+import org.verbenawheel.configuration.ConfigurationState;
+import org.verbenawheel.configuration.PoolSettings;
+import org.verbenawheel.document.Document;
+import org.verbenawheel.document.DocumentException;
+import org.verbenawheel.document.DocumentReader;
+import org.verbenawheel.identity.AvailabilityZone;
+import org.verbenawheel.identity.CommandId;
+import org.verbenawheel.identity.ProcessId;
+import org.verbenawheel.operator.OperatorCommand;
+import org.verbenawheel.operator.OperatorReply;
+import org.verbenawheel.operator.PoolReport;
+import org.verbenawheel.operator.StatusReport;
+import org.verbenawheel.pool.PoolCommand;
+import org.verbenawheel.pool.PoolState;
+import org.verbenawheel.replication.ApplyContext;
+import org.verbenawheel.replication.CommandEnvelope;
+import org.verbenawheel.replication.CommandReply;
+
+/** Serves the operators' API over states in memory, and keeps the reply of each command. */
+final class FakeControl implements AutoCloseable {
+  static final String TOKEN = "open sesame";
+
+  private final HttpServer server;
+  private final ConfigurationState configuration = new ConfigurationState();
+  private final PoolState pools = new PoolState();
+  private final Map<CommandId, CommandReply> replies = new HashMap<>();
+  private long index;
+
+  /** Whether this process leads; another answers 421. */
+  volatile boolean leads = true;
+
+  /** How many commands are done without their answer being sent. */
+  final AtomicInteger answersToLose = new AtomicInteger();
+
+  FakeControl() throws IOException {
+    server = HttpServer.create(new InetSocketAddress(InetAddresses.forString("127.0.0.1"), 0), 0);
+    server.createContext("/", this::handle);
+    server.start();
+  }
+
+  String address() {
+    return "127.0.0.1:" + server.getAddress().getPort();
+  }
+
+  long configurationVersion() {
+    return configuration.history().current().version();
+  }
+
+  private synchronized void handle(HttpExchange exchange) throws IOException {
+    try (exchange) {
+      String authorization = exchange.getRequestHeaders().getFirst("Authorization");
+      if (!("Bearer " + TOKEN).equals(authorization)) {
+        respondError(exchange, 401, "not authorized");
+      } else if (exchange.getRequestURI().getPath().equals("/v1/status")) {
+        respond(exchange, 200, status());
+      } else if (!leads) {
+        respondError(exchange, 421, "this process does not lead");
+      } else {
+        handleAsLeader(exchange);
+      }
+    }
+  }
+
+  private void handleAsLeader(HttpExchange exchange) throws IOException {
+    String call = exchange.getRequestMethod() + " " + exchange.getRequestURI().getPath();
+    if (call.startsWith("POST /v1/commands/") || call.equals("PUT /v1/configuration")) {
+      handleCommand(exchange);
+      return;
+    }
+    Object value =
+        switch (call) {
+          case "GET /v1/configuration" -> configuration.history().current();
+          case "GET /v1/configuration/history" -> configuration.history().changes();
+          case "GET /v1/pools" -> PoolReport.of(pools.view());
+          case "GET /v1/hosts" -> pools.view().hosts().values();
+          case "GET /v1/dump" -> ImmutableMap.of("configuration", configuration.dump());
+          default -> Optional.empty();
+        };
+    respond(exchange, 200, value);
+  }
+
+  private void handleCommand(HttpExchange exchange) throws IOException {
+    try {
+      OperatorReply reply = OperatorReply.of(apply(read(exchange)));
+      if (answersToLose.getAndUpdate(count -> Math.max(0, count - 1)) > 0) {
+        return;
+      }
+      if (reply.outcome() == OperatorReply.Outcome.ACCEPTED) {
+        respond(exchange, 200, reply);
+      } else {
+        respond(exchange, reply.outcome().httpStatus(), error(reply.message(), reply.fix()));
+      }
+    } catch (DocumentException malformed) {
+      respondError(exchange, 400, String.valueOf(malformed.getMessage()));
+    }
+  }
+
+  private static CommandEnvelope read(HttpExchange exchange) throws IOException, DocumentException {
+    Document body = DocumentReader.read("body", exchange.getRequestBody().readAllBytes());
+    String path = exchange.getRequestURI().getPath();
+    if (path.equals("/v1/configuration")) {
+      ConfigurationRequest request = ConfigurationDocuments.readRequest(body);
+      return new CommandEnvelope(Optional.of(request.commandId()), request.command());
+    }
+    String name = path.substring("/v1/commands/".length());
+    return OperatorCommand.ofName(name).orElseThrow().read(body);
+  }
+
+  private CommandReply apply(CommandEnvelope envelope) {
+    return replies.computeIfAbsent(
+        envelope.commandId().orElseThrow(), identity -> applyOnce(envelope));
+  }
+
+  private CommandReply applyOnce(CommandEnvelope envelope) {
+    index++;
+    ApplyContext context = new ApplyContext(index, Instant.EPOCH.plusSeconds(index));
+    if (!configuration.commandKinds().contains(envelope.command().getClass())) {
+      return pools.apply(envelope.command(), context);
+    }
+    CommandReply reply = configuration.apply(envelope.command(), context);
+    for (PoolSettings pool : configuration.history().current().configuration().pools().values()) {
+      var unused = pools.apply(new PoolCommand.DefinePool(pool, configurationVersion()), context);
+    }
+    return reply;
+  }
+
+  private StatusReport status() {
+    return new StatusReport(
+        new ProcessId("control-1"),
+        new AvailabilityZone("tamar"),
+        leads ? "LEADER" : "FOLLOWER",
+        Optional.empty(),
+        1,
+        index,
+        index,
+        configurationVersion(),
+        true);
+  }
+
+  private static void respondError(HttpExchange exchange, int status, String error)
+      throws IOException {
+    respond(exchange, status, error(error, "mend it"));
+  }
+
+  private static ImmutableMap<String, Object> error(String error, String fix) {
+    return ImmutableMap.of(
+        "error", error, "found", "", "expected", "", "fix", fix, "verdict", "NOT_RUN");
+  }
+
+  private static void respond(HttpExchange exchange, int status, Object body) throws IOException {
+    byte[] bytes = MessageCodec.jsonMapper().writeValueAsString(body).getBytes(UTF_8);
+    exchange.getResponseHeaders().set("Content-Type", "application/json");
+    exchange.sendResponseHeaders(status, bytes.length);
+    exchange.getResponseBody().write(bytes);
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+  }
+}
--- /dev/null
+++ b/command/src/test/java/org/verbenawheel/command/MainTest.java
@@ -0,0 +1,239 @@
+package org.verbenawheel.command;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Iterables;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+final class MainTest {
+  private static final String CONFIGURATION =
+      """
+      deployment: derwent
+      services:
+        hobart-desk: {pool: hobart-desk, queueLimit: 40}
+      pools:
+        hobart-desk: {role: SERVING, minimumHosts: 6, maximumHosts: 9}
+        members-hub: {role: SPARE, minimumHosts: 0, maximumHosts: 9}
+      """;
+
+  @TempDir Path folder;
+
+  private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
+  private final FakeControl control = startControl();
+  private String controls = control.address();
+  private Path file = Path.of("");
+
+  private static FakeControl startControl() {
+    try {
+      return new FakeControl();
+    } catch (IOException failed) {
+      throw new AssertionError(failed);
+    }
+  }
+
+  @BeforeEach
+  void writeFiles() throws IOException {
+    Files.writeString(folder.resolve("token"), FakeControl.TOKEN + "\n");
+    file = Files.writeString(folder.resolve("configuration.yaml"), CONFIGURATION);
+  }
+
+  @AfterEach
+  void stopControl() {
+    control.close();
+  }
+
+  @Test
+  void appliesShowsAndComparesAConfiguration() throws IOException {
+    assertThat(run("configuration", "apply", file.toString(), "--expected-version", "0"))
+        .isEqualTo(ExitCode.DONE);
+    assertThat(output()).contains("configuration accepted as version 1");
+    assertThat(run("configuration", "diff", file.toString())).isEqualTo(ExitCode.DONE);
+    assertThat(output()).isEqualTo("no difference\n");
+    Files.writeString(file, CONFIGURATION.replace("40", "41"));
+    run("configuration", "diff", file.toString());
+    assertThat(output()).isEqualTo("services.hobart-desk.queueLimit: 40 -> 41\n");
+    run("configuration", "show");
+    assertThat(output()).contains("queueLimit: 40");
+    run("configuration", "history");
+    assertThat(output()).contains("1 changed, 0 removed");
+    run("service", "list");
+    assertThat(output()).contains("INTERACTIVE");
+  }
+
+  @Test
+  void refusesAnEqualNumberFromAnotherOperator() {
+    run("configuration", "apply", file.toString(), "--expected-version", "0", "--operator", "ana");
+    assertThat(run("configuration", "apply", file.toString(), "--expected-version", "0"))
+        .isEqualTo(ExitCode.REFUSED);
+    assertThat(errors()).contains("is at version 1, made by ana, not at 0");
+    assertThat(errors()).contains("try: see what changed with");
+  }
+
+  @Test
+  void doesAResentCommandOnce() {
+    control.answersToLose.set(1);
+    String[] command = {
+      "configuration", "apply", file.toString(), "--expected-version", "0", "--command-id", "c-1"
+    };
+    assertThat(run(command)).isEqualTo(ExitCode.DONE);
+    assertThat(run(command)).isEqualTo(ExitCode.DONE);
+    assertThat(output()).contains("already done: configuration accepted as version 1");
+    assertThat(control.configurationVersion()).isEqualTo(1);
+  }
+
+  @Test
+  void saysWhenItIsNotKnownWhetherACommandWasDone() {
+    control.answersToLose.set(1_000);
+    assertThat(
+            run(
+                "configuration",
+                "apply",
+                file.toString(),
+                "--expected-version",
+                "0",
+                "--timeout-seconds",
+                "1"))
+        .isEqualTo(ExitCode.NOT_KNOWN);
+    assertThat(errors()).contains("--command-id");
+  }
+
+  @Test
+  void findsTheLeaderAmongTheControlProcesses() throws IOException {
+    try (FakeControl follower = new FakeControl()) {
+      follower.leads = false;
+      controls = follower.address() + "," + control.address();
+      assertThat(run("configuration", "show")).isEqualTo(ExitCode.DONE);
+      assertThat(run("status")).isEqualTo(ExitCode.DONE);
+      assertThat(output()).contains("FOLLOWER");
+    }
+  }
+
+  @Test
+  void failsIfNoProcessLeadsOrAnswers() {
+    control.leads = false;
+    assertThat(run("status")).isEqualTo(ExitCode.NOT_REACHED);
+    assertThat(run("pool", "list", "--timeout-seconds", "1")).isEqualTo(ExitCode.NOT_REACHED);
+    assertThat(errors()).contains("421 this process does not lead");
+    controls = "127.0.0.1:1";
+    assertThat(run("pool", "list", "--timeout-seconds", "1")).isEqualTo(ExitCode.NOT_REACHED);
+    assertThat(errors()).contains("nothing was changed");
+  }
+
+  @Test
+  void createsPoolsAndMovesHosts() {
+    run("configuration", "apply", file.toString(), "--expected-version", "0");
+    assertThat(run("pool", "create", "extra", "--role", "spare", "--maximum-hosts", "9"))
+        .isEqualTo(ExitCode.DONE);
+    run("pool", "create", "extra", "--role", "spare", "--maximum-hosts", "9");
+    assertThat(output()).contains("already done");
+    assertThat(register("h-1")).isEqualTo(ExitCode.DONE);
+    assertThat(run("pool", "move", "h-1", "extra", "--command-id", "m-1")).isEqualTo(ExitCode.DONE);
+    assertThat(output()).contains("MOVE in phase REQUESTED");
+    run("pool", "move", "h-1", "extra", "--command-id", "m-1");
+    assertThat(output()).contains("already done");
+    assertThat(run("pool", "move", "h-1", "members-hub")).isEqualTo(ExitCode.REFUSED);
+    run("host", "list", "--pool", "hobart-desk");
+    assertThat(output()).contains("MOVE REQUESTED");
+    run("pool", "list", "--output", "json");
+    assertThat(output()).contains("\"inActivity\" : 1");
+    assertThat(run("host", "retire", "h-2")).isEqualTo(ExitCode.REFUSED);
+    assertThat(errors()).contains("no host is named h-2");
+  }
+
+  @Test
+  void dumpsOneProcess() {
+    assertThat(run("dump", "--process", control.address())).isEqualTo(ExitCode.DONE);
+    assertThat(output()).contains("\"version\" : 0");
+  }
+
+  @Test
+  void refusesWhatIsNotACommandLine() {
+    assertThat(run("fly")).isEqualTo(ExitCode.BAD_INPUT);
+    assertThat(run("status", "--fast")).isEqualTo(ExitCode.BAD_INPUT);
+    assertThat(run("status", "now")).isEqualTo(ExitCode.BAD_INPUT);
+    assertThat(run("status", "--output", "xml")).isEqualTo(ExitCode.BAD_INPUT);
+    assertThat(run("status", "--timeout-seconds", "soon")).isEqualTo(ExitCode.BAD_INPUT);
+    assertThat(run("configuration", "apply", file.toString())).isEqualTo(ExitCode.BAD_INPUT);
+    assertThat(run("configuration", "diff", folder.resolve("absent").toString()))
+        .isEqualTo(ExitCode.BAD_INPUT);
+    controls = "nowhere";
+    assertThat(run("status")).isEqualTo(ExitCode.BAD_INPUT);
+    assertThat(errors()).contains("try: give an address such as");
+  }
+
+  @Test
+  void refusesAWrongToken() throws IOException {
+    Files.writeString(folder.resolve("token"), "wrong");
+    assertThat(run("service", "list")).isEqualTo(ExitCode.BAD_INPUT);
+    assertThat(errors()).contains("not authorized");
+  }
+
+  @Test
+  void everyCommandHasHelp() {
+    for (Command command : CommandCatalog.standard().commands()) {
+      List<String> words = command.definition().words();
+      assertThat(run(Iterables.toArray(Iterables.concat(words, List.of("--help")), String.class)))
+          .isEqualTo(ExitCode.DONE);
+      assertThat(output()).contains("verbenawheel " + command.definition().name());
+      assertThat(output()).contains("--timeout-seconds");
+    }
+  }
+
+  private ExitCode register(String host) {
+    return run(
+        "host",
+        "register",
+        host,
+        "--pool",
+        "hobart-desk",
+        "--availability-zone",
+        "tamar",
+        "--region",
+        "tasmania",
+        "--rack",
+        "r-1",
+        "--processors",
+        "32",
+        "--memory-mebibytes",
+        "65536",
+        "--condition",
+        "in_service");
+  }
+
+  private ExitCode run(String... arguments) {
+    output.reset();
+    errors.reset();
+    Main main =
+        new Main(
+            CommandCatalog.standard(),
+            new PrintStream(output, true, UTF_8),
+            new PrintStream(errors, true, UTF_8),
+            ImmutableMap.of(
+                "VERBENAWHEEL_CONTROL",
+                controls,
+                "VERBENAWHEEL_TOKEN_FILE",
+                folder.resolve("token").toString()));
+    return main.run(ImmutableList.copyOf(arguments));
+  }
+
+  private String output() {
+    return output.toString(UTF_8);
+  }
+
+  private String errors() {
+    return errors.toString(UTF_8);
+  }
+}
