--- a/core/src/main/java/org/verbenawheel/operator/OperatorCommand.java
+++ b/core/src/main/java/org/verbenawheel/operator/OperatorCommand.java
@@ -11,12 +11,12 @@
 import org.verbenawheel.identity.PoolName;
 import org.verbenawheel.identity.Rack;
 import org.verbenawheel.identity.Region;
+import org.verbenawheel.platform.Resources;
 import org.verbenawheel.pool.ActivityId;
 import org.verbenawheel.pool.ActivityKind;
 import org.verbenawheel.pool.HostCondition;
 import org.verbenawheel.pool.HostLocation;
 import org.verbenawheel.pool.PoolCommand;
-import org.verbenawheel.pool.Resources;
 import org.verbenawheel.replication.CommandEnvelope;
 import org.verbenawheel.replication.ControlCommand;
 
--- a/daemon/src/main/java/org/verbenawheel/entry/EndpointHttpClients.java
+++ b/daemon/src/main/java/org/verbenawheel/entry/EndpointHttpClients.java
@@ -1,5 +1,6 @@
 package org.verbenawheel.entry;
 
+import com.google.common.flogger.FluentLogger;
 import io.micronaut.context.ApplicationContext;
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
 import io.micronaut.http.client.HttpClient;
@@ -9,8 +10,11 @@
 import java.time.Duration;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
+import org.verbenawheel.event.Event;
+import org.verbenawheel.event.EventLine;
 import org.verbenawheel.supervision.FailureListener;
 import org.verbenawheel.supervision.SupervisedPart;
+import reactor.core.publisher.Hooks;
 
 /**
  * Makes HTTP clients that share the entry's event loops, one for each endpoint.
@@ -18,6 +22,7 @@
  * <p>A client never sends a request twice, follows no redirect and changes no body.
  */
 final class EndpointHttpClients implements SupervisedPart {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int EVENT_LOOP_THREADS = 2;
 
   private final EndpointConnectionLimits limits;
@@ -34,6 +39,7 @@
 
   @Override
   public synchronized void start(FailureListener failures) {
+    Hooks.onErrorDropped(EndpointHttpClients::ignoreLateFailure);
     context =
         ApplicationContext.builder()
             .banner(false)
@@ -52,6 +58,11 @@
     }
   }
 
+  /** Takes the failure of an exchange that was given up before, whose outcome is decided. */
+  private static void ignoreLateFailure(Throwable failure) {
+    logger.atFine().withCause(failure).log("%s", EventLine.of(Event.ATTEMPT_FAILED));
+  }
+
   /**
    * Opens a client without connections.
    *
