--- a/wire/src/main/java/org/verbenawheel/wire/PeerTimings.java
+++ b/wire/src/main/java/org/verbenawheel/wire/PeerTimings.java
@@ -24,9 +24,9 @@
       new PeerTimings(
           Duration.ofMillis(300),
           Duration.ofMillis(1500),
-          Duration.ofMillis(1000),
+          Duration.ofSeconds(1),
           Duration.ofMillis(50),
-          Duration.ofMillis(1000));
+          Duration.ofSeconds(1));
 
   /**
    * Checks the timings.
