Plan maintenance in waves that leave each pool what it needs

Cause: taking hosts out by zone or by a fixed count costs answers when hosts are lost already, and a bad image would go on through the fleet. A pool's room is what it has at work beyond its need, less when the expected shortfall from further losses would pass what is left of the tightest budget. A wave stays in one availability zone.

--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/maintenance/MaintenanceCommands.java
@@ -0,0 +1,20 @@
+package org.verbenawheel.maintenance;
+
+import org.verbenawheel.peer.MessageKinds;
+
+/** Gives the commands and replies on maintenance their numbers, 560 to 579. */
+public final class MaintenanceCommands {
+  /** The kinds of command and reply of this package. */
+  public static final MessageKinds KINDS =
+      MessageKinds.builder()
+          .add(560, MaintenanceCommand.StartMaintenance.class)
+          .add(561, MaintenanceCommand.BeginPeriod.class)
+          .add(562, MaintenanceCommand.StartWave.class)
+          .add(563, MaintenanceCommand.HaltMaintenance.class)
+          .add(564, MaintenanceCommand.ResumeMaintenance.class)
+          .add(570, MaintenanceReply.MaintenanceChanged.class)
+          .add(571, MaintenanceReply.MaintenanceRefused.class)
+          .build();
+
+  private MaintenanceCommands() {}
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/maintenance/WavePlanner.java
@@ -0,0 +1,253 @@
+package org.verbenawheel.maintenance;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.collect.ImmutableMap.toImmutableMap;
+import static java.util.Comparator.comparing;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.verbenawheel.capacity.PoolNeed;
+import org.verbenawheel.identity.AvailabilityZone;
+import org.verbenawheel.identity.PoolName;
+import org.verbenawheel.maintenance.MaintenanceCommand.BeginPeriod;
+import org.verbenawheel.maintenance.MaintenanceCommand.HaltMaintenance;
+import org.verbenawheel.maintenance.MaintenanceCommand.StartWave;
+import org.verbenawheel.pool.Activity;
+import org.verbenawheel.pool.ActivityId;
+import org.verbenawheel.pool.ActivityKind;
+import org.verbenawheel.pool.HostCondition;
+import org.verbenawheel.pool.HostRecord;
+import org.verbenawheel.pool.PoolCommand.CancelActivity;
+import org.verbenawheel.pool.PoolCommand.StartActivity;
+import org.verbenawheel.pool.PoolView;
+import org.verbenawheel.replication.ControlCommand;
+
+/**
+ * Plans maintenance in waves within one availability zone at a time, each pool as wide as {@link
+ * WaveWidth} allows, rack after rack. Does no I/O.
+ *
+ * <p>A host that is off is not taken out: it takes the maintenance with its next power on.
+ */
+public final class WavePlanner {
+  private final MaintenanceSettings settings;
+  private final WaveWidth width;
+  private final FailureCorrelation correlation;
+
+  /**
+   * Makes a planner.
+   *
+   * @param settings what it goes by
+   */
+  public WavePlanner(MaintenanceSettings settings) {
+    this.settings = settings;
+    this.width = new WaveWidth(settings.rates(), settings.waveTime());
+    this.correlation = new FailureCorrelation(settings.rates().rebootFailureShare());
+  }
+
+  /**
+   * Returns the next step of maintenance.
+   *
+   * @param status how far it has come
+   * @param view the pools and hosts
+   * @param needs what each serving pool must keep; a serving pool that is not here is left alone
+   * @param now the present moment
+   */
+  public WaveStep next(
+      MaintenanceStatus status,
+      PoolView view,
+      ImmutableMap<PoolName, PoolNeed> needs,
+      Instant now) {
+    return switch (status.phase()) {
+      case IDLE -> WaveStep.nothing("no operator has started maintenance");
+      case HALTED -> cancelWhatIsNotReleased(status, view);
+      case RUNNING -> run(status, view, needs, now);
+    };
+  }
+
+  private WaveStep run(
+      MaintenanceStatus status,
+      PoolView view,
+      ImmutableMap<PoolName, PoolNeed> needs,
+      Instant now) {
+    Optional<String> halt = correlation.reasonToHalt(status, view);
+    if (halt.isPresent()) {
+      return WaveStep.of("halt", halt.get(), new HaltMaintenance(halt.get(), status.version()));
+    }
+    Map<PoolName, Integer> room = roomOfPools(view, needs);
+    ImmutableList<HostRecord> takenOut = chooseWithin(waitingHosts(status, view), room);
+    if (!takenOut.isEmpty()) {
+      return startHosts(takenOut);
+    }
+    if (isInProgress(status, view, now)) {
+      return WaveStep.nothing("the wave is in progress");
+    }
+    return nextWave(status, view, room, now);
+  }
+
+  private static WaveStep cancelWhatIsNotReleased(MaintenanceStatus status, PoolView view) {
+    ImmutableList<ControlCommand> cancellations =
+        view.hosts().values().stream()
+            .flatMap(host -> cancellation(host).stream())
+            .collect(toImmutableList());
+    return new WaveStep(
+        cancellations.isEmpty() ? WaveStep.NOTHING : "cancel",
+        status.haltReason().orElse("halted"),
+        cancellations);
+  }
+
+  private static Optional<ControlCommand> cancellation(HostRecord host) {
+    return host.activity()
+        .filter(activity -> activity.kind() == ActivityKind.MAINTAIN)
+        .filter(activity -> activity.phase().isCancellable())
+        .map(activity -> new CancelActivity(host.host(), activity.id(), host.version()));
+  }
+
+  private Map<PoolName, Integer> roomOfPools(
+      PoolView view, ImmutableMap<PoolName, PoolNeed> needs) {
+    Map<PoolName, Integer> room = new HashMap<>();
+    needs.forEach((pool, need) -> room.put(pool, width.widest(atWork(view.hostsOf(pool)), need)));
+    return room;
+  }
+
+  private static ImmutableList<HostRecord> atWork(ImmutableList<HostRecord> hosts) {
+    return hosts.stream()
+        .filter(host -> host.takesWork() && host.activity().isEmpty())
+        .collect(toImmutableList());
+  }
+
+  /** Returns the hosts of the wave that are still to be taken out. */
+  private static ImmutableList<HostRecord> waitingHosts(MaintenanceStatus status, PoolView view) {
+    return status.lastWave().stream()
+        .flatMap(wave -> wave.hosts().stream())
+        .flatMap(host -> Stream.ofNullable(view.hosts().get(host)))
+        .filter(host -> isDue(host, status) && host.activity().isEmpty())
+        .collect(toImmutableList());
+  }
+
+  private static boolean isDue(HostRecord host, MaintenanceStatus status) {
+    return host.condition() == HostCondition.IN_SERVICE
+        && host.maintainedAt().filter(at -> !at.isBefore(status.periodStart())).isEmpty();
+  }
+
+  private boolean isInProgress(MaintenanceStatus status, PoolView view, Instant now) {
+    return status.lastWave().stream()
+        .flatMap(wave -> wave.hosts().stream())
+        .flatMap(host -> Stream.ofNullable(view.hosts().get(host)))
+        .anyMatch(host -> isMaintained(host) || isSettling(host, now));
+  }
+
+  private static boolean isMaintained(HostRecord host) {
+    return host.activity().map(Activity::kind).filter(ActivityKind.MAINTAIN::equals).isPresent();
+  }
+
+  private boolean isSettling(HostRecord host, Instant now) {
+    return host.maintainedAt()
+        .filter(at -> at.plus(settings.settleTime()).isAfter(now))
+        .isPresent();
+  }
+
+  private WaveStep nextWave(
+      MaintenanceStatus status, PoolView view, Map<PoolName, Integer> room, Instant now) {
+    ImmutableList<HostRecord> due =
+        view.hosts().values().stream()
+            .filter(host -> isDue(host, status) && host.activity().isEmpty())
+            .collect(toImmutableList());
+    if (due.isEmpty()) {
+      return endOfPeriod(status, now);
+    }
+    return zonesInOrder(due, status)
+        .map(zone -> startWave(zone, due, room, status))
+        .flatMap(Optional::stream)
+        .findFirst()
+        .orElseGet(
+            () ->
+                WaveStep.nothing(
+                    due.size() + " hosts are due and no pool has room: add hosts or lower demand"));
+  }
+
+  private static WaveStep endOfPeriod(MaintenanceStatus status, Instant now) {
+    if (status.periodStart().plus(status.period()).isAfter(now)) {
+      return WaveStep.nothing("every host is maintained");
+    }
+    return WaveStep.of("begin period", "the period is over", new BeginPeriod(status.version()));
+  }
+
+  /** Goes on in the zone of the last wave, then with the zone that has the most hosts due. */
+  private static Stream<AvailabilityZone> zonesInOrder(
+      ImmutableList<HostRecord> due, MaintenanceStatus status) {
+    ImmutableMap<AvailabilityZone, Long> counts =
+        due.stream()
+            .map(WavePlanner::zoneOf)
+            .distinct()
+            .collect(
+                toImmutableMap(
+                    zone -> zone,
+                    zone -> due.stream().filter(host -> zoneOf(host).equals(zone)).count()));
+    Optional<AvailabilityZone> last = status.lastWave().map(MaintenanceWave::availabilityZone);
+    return counts.keySet().stream()
+        .sorted(
+            comparing((AvailabilityZone zone) -> last.filter(zone::equals).isEmpty())
+                .thenComparing(zone -> -counts.getOrDefault(zone, 0L))
+                .thenComparing(zone -> zone));
+  }
+
+  private static AvailabilityZone zoneOf(HostRecord host) {
+    return host.location().availabilityZone();
+  }
+
+  private static Optional<WaveStep> startWave(
+      AvailabilityZone zone,
+      ImmutableList<HostRecord> due,
+      Map<PoolName, Integer> room,
+      MaintenanceStatus status) {
+    ImmutableList<HostRecord> candidates =
+        due.stream()
+            .filter(host -> zoneOf(host).equals(zone))
+            .sorted(comparing((HostRecord host) -> host.location().rack()))
+            .collect(toImmutableList());
+    ImmutableList<HostRecord> chosen = chooseWithin(candidates, room);
+    if (chosen.isEmpty()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        WaveStep.of(
+            "start wave",
+            chosen.size() + " of " + due.size() + " hosts due, in " + zone + ", room " + room,
+            new StartWave(
+                zone,
+                chosen.stream().map(HostRecord::host).collect(toImmutableList()),
+                status.version())));
+  }
+
+  private static ImmutableList<HostRecord> chooseWithin(
+      ImmutableList<HostRecord> candidates, Map<PoolName, Integer> room) {
+    Map<PoolName, Integer> left = new HashMap<>(room);
+    return candidates.stream()
+        .filter(host -> left.merge(host.pool(), -1, Integer::sum) >= 0)
+        .collect(toImmutableList());
+  }
+
+  private static WaveStep startHosts(ImmutableList<HostRecord> hosts) {
+    return new WaveStep(
+        "take out",
+        hosts.size() + " hosts of the wave have room",
+        hosts.stream().map(WavePlanner::startMaintenance).collect(toImmutableList()));
+  }
+
+  /**
+   * The log index of the host's last change belongs to no other host, so the identity is unique.
+   */
+  private static ControlCommand startMaintenance(HostRecord host) {
+    return new StartActivity(
+        host.host(),
+        new ActivityId("maintain-" + host.version()),
+        ActivityKind.MAINTAIN,
+        Optional.empty(),
+        host.version());
+  }
+}
--- a/core/src/main/java/org/verbenawheel/maintenance/package-info.java
+++ b/core/src/main/java/org/verbenawheel/maintenance/package-info.java
@@ -1,4 +1,4 @@
-/** Maintenance waves across failure domains, as wide as the tightest budget allows. */
+/** Maintenance in waves across failure domains, within the services' availability budgets. */
 @NullMarked
 package org.verbenawheel.maintenance;
 
--- a/core/src/main/java/org/verbenawheel/pool/ActivityKind.java
+++ b/core/src/main/java/org/verbenawheel/pool/ActivityKind.java
@@ -24,11 +24,11 @@
       host.maintainedAt(stateTime);
     }
   },
-  /** Powers the host on. */
+  /** Powers the host on; booting from off counts as maintenance. */
   POWER_ON(ActivityPhase.REQUESTED, ActivityPhase.POWERING_ON) {
     @Override
     void finish(HostRecord.Builder host, Activity activity, Instant stateTime) {
-      host.condition(HostCondition.IN_SERVICE);
+      host.condition(HostCondition.IN_SERVICE).maintainedAt(stateTime);
     }
   },
   /** Drains the host and powers it off. */
