--- /dev/null
+++ b/daemon/src/main/java/org/verbenawheel/control/ControlProcess.java
@@ -0,0 +1,219 @@
+package org.verbenawheel.control;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.verbenawheel.claim.ClaimPolicy;
+import org.verbenawheel.claim.ClaimState;
+import org.verbenawheel.configuration.ConfigurationChange;
+import org.verbenawheel.configuration.ConfigurationService;
+import org.verbenawheel.configuration.ConfigurationState;
+import org.verbenawheel.configuration.VersionedConfiguration;
+import org.verbenawheel.daemon.Addresses;
+import org.verbenawheel.daemon.DaemonMessages;
+import org.verbenawheel.daemon.DaemonState;
+import org.verbenawheel.daemon.HttpServerPart;
+import org.verbenawheel.daemon.OperatorToken;
+import org.verbenawheel.daemon.PartDumps;
+import org.verbenawheel.daemon.SecretFile;
+import org.verbenawheel.identity.ProcessId;
+import org.verbenawheel.operator.PoolReport;
+import org.verbenawheel.operator.StatusReport;
+import org.verbenawheel.platform.Platform;
+import org.verbenawheel.platform.UsageBoard;
+import org.verbenawheel.pool.ActivityController;
+import org.verbenawheel.pool.ControllerPart;
+import org.verbenawheel.pool.HostRecord;
+import org.verbenawheel.pool.PoolDefinitions;
+import org.verbenawheel.pool.PoolState;
+import org.verbenawheel.replication.CommandEnvelope;
+import org.verbenawheel.replication.CommandReply;
+import org.verbenawheel.replication.NotLeaderException;
+import org.verbenawheel.replication.ReplicaProcess;
+import org.verbenawheel.replication.ReplicaStatus;
+import org.verbenawheel.replication.ReplicationTimings;
+import org.verbenawheel.settings.ControlSettings;
+import org.verbenawheel.supervision.PartFailedException;
+import org.verbenawheel.supervision.RestartStrategy;
+import org.verbenawheel.supervision.Supervisor;
+import org.verbenawheel.wire.PeerNode;
+import org.verbenawheel.wire.SharedSecret;
+
+/** Puts the parts of one control process together: a replica, the controllers and operators. */
+final class ControlProcess implements OperatorService, DaemonState {
+  private static final Duration ROUND_INTERVAL = Duration.ofMillis(500);
+  private static final int MAXIMUM_BODY_BYTES = 1 << 20;
+
+  private final ControlSettings settings;
+  private final InstantSource clock;
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final ConfigurationState configuration = new ConfigurationState();
+  private final PoolState pools = new PoolState();
+  private final PeerNode peers;
+  private final ReplicaProcess replica;
+  private final Supervisor root;
+  private volatile boolean draining;
+
+  ControlProcess(ControlSettings settings, InstantSource clock) throws PartFailedException {
+    this.settings = settings;
+    this.clock = clock;
+    this.peers = newPeers();
+    this.replica = newReplica();
+    peers.addHandler(replica);
+    peers.addHandler(new ConfigurationService(new StateAuthority(replica), configuration::history));
+    this.root = newSupervisor();
+  }
+
+  /** Returns the supervisor tree of this process. */
+  Supervisor root() {
+    return root;
+  }
+
+  /** Takes no new command; the parts end in order when the tree stops. */
+  void drain() {
+    draining = true;
+  }
+
+  @Override
+  public StatusReport status() {
+    Optional<ReplicaStatus> status = replica.status();
+    return new StatusReport(
+        settings.process(),
+        settings.availabilityZone(),
+        status.map(present -> present.role().name()).orElse("STOPPED"),
+        status.flatMap(ReplicaStatus::leader),
+        status.map(ReplicaStatus::term).orElse(0L),
+        status.map(ReplicaStatus::commitIndex).orElse(0L),
+        status.map(ReplicaStatus::commitIndex).orElse(0L),
+        configuration.history().current().version(),
+        ready());
+  }
+
+  @Override
+  public CompletableFuture<VersionedConfiguration> configuration() {
+    return replica.read(() -> configuration.history().current());
+  }
+
+  @Override
+  public CompletableFuture<ImmutableList<ConfigurationChange>> history() {
+    return replica.read(() -> configuration.history().changes());
+  }
+
+  @Override
+  public CompletableFuture<ImmutableList<PoolReport>> pools() {
+    return replica.read(() -> PoolReport.of(pools.view()));
+  }
+
+  @Override
+  public CompletableFuture<ImmutableList<HostRecord>> hosts() {
+    return replica.read(() -> pools.view().hosts().values().asList());
+  }
+
+  @Override
+  public CompletableFuture<ReplicaStatus> replicas() {
+    Supplier<ReplicaStatus> present = () -> replica.status().orElseThrow();
+    return replica.read(present);
+  }
+
+  @Override
+  public CompletableFuture<CommandReply> submit(CommandEnvelope envelope) {
+    return draining
+        ? CompletableFuture.failedFuture(new NotLeaderException(Optional.empty()))
+        : replica.submitAsLeader(envelope);
+  }
+
+  @Override
+  public boolean ready() {
+    return !draining && replica.status().flatMap(ReplicaStatus::leader).isPresent();
+  }
+
+  @Override
+  public MetricRegistry metrics() {
+    return metrics;
+  }
+
+  @Override
+  public Object dump() {
+    return ImmutableMap.of(
+        "process", settings.process(),
+        "availabilityZone", settings.availabilityZone(),
+        "ready", ready(),
+        "peers", peers.dump(),
+        "replica", PartDumps.orNoAnswer(replica.dump()));
+  }
+
+  private PeerNode newPeers() throws PartFailedException {
+    return PeerNode.builder()
+        .self(settings.process())
+        .listenAddress(Addresses.text(settings.peerAddress()))
+        .peers(
+            ImmutableMap.<ProcessId, String>builder()
+                .putAll(Addresses.texts(settings.entries()))
+                .putAll(Addresses.texts(settings.controls()))
+                .buildOrThrow())
+        .secret(SharedSecret.of(SecretFile.read(settings.sharedSecretFile(), "sharedSecretFile")))
+        .kinds(DaemonMessages.KINDS)
+        .clock(clock)
+        .build();
+  }
+
+  private ReplicaProcess newReplica() {
+    return ReplicaProcess.builder(settings.process(), clock)
+        .initialVoters(settings.controls().keySet())
+        .dataFolder(settings.dataFolder())
+        .links(peers)
+        .codec(DaemonMessages.CODEC)
+        .addPart(new ClaimState(ClaimPolicy.DEFAULT))
+        .addPart(configuration)
+        .addPart(pools)
+        .timings(
+            timings(
+                Duration.ofMillis(settings.replicationHeartbeatMilliseconds()),
+                Duration.ofMillis(settings.electionTimeoutMilliseconds())))
+        .snapshotInterval(Math.toIntExact(settings.snapshotEveryCommands()))
+        .build();
+  }
+
+  /** Returns timings whose lease ends a fifth of the election timeout before an election. */
+  private static ReplicationTimings timings(Duration heartbeat, Duration electionTimeout) {
+    return new ReplicationTimings(
+        heartbeat, electionTimeout, electionTimeout.multipliedBy(4).dividedBy(5));
+  }
+
+  private Supervisor newSupervisor() throws PartFailedException {
+    Platform platform =
+        settings
+            .platformAddress()
+            .<Platform>map(address -> new HttpPlatform(Addresses.text(address)))
+            .orElseGet(NoPlatform::new);
+    ActivityController controller =
+        new ActivityController(
+            pools,
+            ImmutableList.of(new PoolDefinitions(() -> configuration.history().current())),
+            new LeaderLease(replica, clock),
+            replica,
+            platform,
+            new UsageBoard(),
+            clock);
+    HttpServerPart http =
+        new HttpServerPart(
+            Addresses.text(settings.httpAddress()),
+            MAXIMUM_BODY_BYTES,
+            ImmutableList.of(
+                this,
+                new OperatorToken(
+                    SecretFile.read(settings.operatorTokenFile(), "operatorTokenFile"))));
+    return Supervisor.builder("control", clock)
+        .strategy(RestartStrategy.REST_FOR_ONE)
+        .add(peers)
+        .add(replica)
+        .add(new ControllerPart(controller, ROUND_INTERVAL))
+        .add(http)
+        .build();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/verbenawheel/control/package-info.java
@@ -0,0 +1,5 @@
+/** The control daemon: one replica of the log, the controllers and the operator interface. */
+@NullMarked
+package org.verbenawheel.control;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/verbenawheel/entry/EntryProcess.java
@@ -0,0 +1,233 @@
+package org.verbenawheel.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.util.concurrent.Uninterruptibles;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeoutException;
+import org.verbenawheel.claim.ReplicatedClaimRegister;
+import org.verbenawheel.configuration.Configuration;
+import org.verbenawheel.configuration.ConfigurationFollower;
+import org.verbenawheel.configuration.VersionedConfiguration;
+import org.verbenawheel.daemon.Addresses;
+import org.verbenawheel.daemon.DaemonMessages;
+import org.verbenawheel.daemon.DaemonState;
+import org.verbenawheel.daemon.HttpServerPart;
+import org.verbenawheel.daemon.OperatorToken;
+import org.verbenawheel.daemon.PartDumps;
+import org.verbenawheel.daemon.SecretFile;
+import org.verbenawheel.decision.DecisionJournal;
+import org.verbenawheel.dispatch.DispatchNode;
+import org.verbenawheel.dispatch.RequestPath;
+import org.verbenawheel.identity.ProcessId;
+import org.verbenawheel.identity.RequestId;
+import org.verbenawheel.membership.MembershipNode;
+import org.verbenawheel.replication.RemoteCommandLog;
+import org.verbenawheel.request.CallerOutcome;
+import org.verbenawheel.request.CallerRequest;
+import org.verbenawheel.request.Refusal;
+import org.verbenawheel.request.RefusalReason;
+import org.verbenawheel.settings.EntrySettings;
+import org.verbenawheel.supervision.PartFailedException;
+import org.verbenawheel.supervision.RestartStrategy;
+import org.verbenawheel.supervision.Supervisor;
+import org.verbenawheel.wire.PeerNode;
+import org.verbenawheel.wire.SharedSecret;
+
+/**
+ * Puts the parts of one entry together: callers and endpoints on one side, the other processes of
+ * the system on the other.
+ */
+final class EntryProcess implements CallerService, DaemonState {
+  private static final Duration CLAIM_TIMEOUT = Duration.ofSeconds(2);
+  private static final Duration RETRY_AFTER_DRAIN = Duration.ofSeconds(1);
+  private static final int CONNECTIONS_PER_ENDPOINT = 64;
+  private static final int DECISIONS_KEPT = 256;
+
+  private final EntrySettings settings;
+  private final InstantSource clock;
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final PeerNode peers;
+  private final MembershipNode membership;
+  private final ConfigurationFollower configuration;
+  private final EndpointHttpClients endpointClients;
+  private final HttpEndpointClient endpointClient;
+  private final DispatchNode dispatch;
+  private final RequestPath requestPath;
+  private final Supervisor root;
+  private volatile boolean draining;
+
+  EntryProcess(EntrySettings settings, InstantSource clock) throws PartFailedException {
+    this.settings = settings;
+    this.clock = clock;
+    this.peers = newPeers();
+    this.membership = newMembership();
+    this.configuration = newConfiguration();
+    EndpointConnectionLimits limits =
+        EndpointConnectionLimits.shareOf(
+            CONNECTIONS_PER_ENDPOINT,
+            settings.entries().size(),
+            Math.toIntExact(settings.maximumBodyBytes()));
+    this.endpointClients = new EndpointHttpClients(limits);
+    this.endpointClient = new HttpEndpointClient(endpointClients, limits, clock);
+    this.dispatch =
+        DispatchNode.builder(settings.process(), membership, configuration, peers)
+            .clock(clock)
+            .metrics(metrics)
+            .journal(new DecisionJournal(DECISIONS_KEPT))
+            .build();
+    this.requestPath =
+        new RequestPath(
+            dispatch,
+            endpointClient,
+            new ReplicatedClaimRegister(settings.process(), newCommandLog()));
+    peers.addHandler(membership);
+    peers.addHandler(dispatch);
+    membership.addListener(endpointClient::onMembership);
+    this.root = newSupervisor();
+  }
+
+  /** Returns the supervisor tree of this entry. */
+  Supervisor root() {
+    return root;
+  }
+
+  /**
+   * Takes no new request, tells the balancer, the endpoints and the other entries, and returns when
+   * no request is in flight or the drain timeout has passed.
+   */
+  void drain() {
+    draining = true;
+    membership.beginDrain();
+    try {
+      Uninterruptibles.getUninterruptibly(
+          requestPath.drain(), Duration.ofMillis(settings.drainTimeoutMilliseconds()));
+    } catch (ExecutionException | TimeoutException unfinished) {
+      // The requests still in flight are cut by the stop that follows; the log names them.
+    }
+  }
+
+  @Override
+  public Configuration configuration() {
+    return configuration
+        .inForce(clock.instant())
+        .map(VersionedConfiguration::configuration)
+        .orElse(Configuration.EMPTY);
+  }
+
+  @Override
+  public CompletableFuture<CallerOutcome> serve(CallerRequest request) {
+    if (draining) {
+      return CompletableFuture.completedFuture(
+          Refusal.notRun(
+              RefusalReason.DRAINING,
+              "this entry is stopping: send the request again to another entry",
+              RETRY_AFTER_DRAIN));
+    }
+    return requestPath.serve(request);
+  }
+
+  @Override
+  public void cancel(RequestId id) {
+    requestPath.cancel(id);
+  }
+
+  @Override
+  public boolean ready() {
+    return !draining && configuration.inForce(clock.instant()).isPresent();
+  }
+
+  @Override
+  public MetricRegistry metrics() {
+    return metrics;
+  }
+
+  @Override
+  public Object dump() {
+    Instant now = clock.instant();
+    return ImmutableMap.builder()
+        .put("process", settings.process())
+        .put("availabilityZone", settings.availabilityZone())
+        .put("ready", ready())
+        .put("requestsInFlight", requestPath.inFlight())
+        .put("membership", membership.dump())
+        .put("configuration", configuration.dump(now))
+        .put("peers", peers.dump())
+        .put("endpointConnectionsReplaced", endpointClient.replacements())
+        .put("requestPath", PartDumps.orNoAnswer(requestPath.dump()))
+        .buildOrThrow();
+  }
+
+  private PeerNode newPeers() throws PartFailedException {
+    return PeerNode.builder()
+        .self(settings.process())
+        .listenAddress(Addresses.text(settings.peerAddress()))
+        .peers(
+            ImmutableMap.<ProcessId, String>builder()
+                .putAll(Addresses.texts(settings.entries()))
+                .putAll(Addresses.texts(settings.controls()))
+                .buildOrThrow())
+        .secret(SharedSecret.of(SecretFile.read(settings.sharedSecretFile(), "sharedSecretFile")))
+        .kinds(DaemonMessages.KINDS)
+        .clock(clock)
+        .build();
+  }
+
+  private MembershipNode newMembership() {
+    return MembershipNode.builder()
+        .self(settings.process())
+        .entries(settings.entries().keySet())
+        .announceAddresses(Addresses.texts(settings.entryHttpAddresses()))
+        .links(peers)
+        .clock(clock)
+        .build();
+  }
+
+  private ConfigurationFollower newConfiguration() {
+    return new ConfigurationFollower(
+        settings.controls().keySet().asList(),
+        peers,
+        clock,
+        Duration.ofMillis(settings.configurationPollMilliseconds()),
+        Duration.ofMillis(settings.configurationFreshnessMilliseconds()));
+  }
+
+  private RemoteCommandLog newCommandLog() {
+    return RemoteCommandLog.builder()
+        .replicas(settings.controls().keySet())
+        .links(peers)
+        .codec(DaemonMessages.CODEC)
+        .clock(clock)
+        .timeout(CLAIM_TIMEOUT)
+        .build();
+  }
+
+  private Supervisor newSupervisor() throws PartFailedException {
+    HttpServerPart http =
+        new HttpServerPart(
+            Addresses.text(settings.httpAddress()),
+            Math.toIntExact(settings.maximumBodyBytes()),
+            ImmutableList.of(
+                this,
+                membership,
+                clock,
+                new CallerRequests(settings.process(), clock.instant()),
+                new OperatorToken(
+                    SecretFile.read(settings.operatorTokenFile(), "operatorTokenFile"))));
+    return Supervisor.builder("entry", clock)
+        .strategy(RestartStrategy.REST_FOR_ONE)
+        .add(peers)
+        .add(membership)
+        .add(configuration)
+        .add(endpointClients)
+        .add(endpointClient)
+        .add(dispatch)
+        .add(http)
+        .build();
+  }
+}
--- /dev/null
+++ b/scenarios/src/main/java/org/verbenawheel/fake/AnnouncingEndpoint.java
@@ -0,0 +1,137 @@
+package org.verbenawheel.fake;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.collect.ImmutableList;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.client.HttpClient;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.verbenawheel.codec.MessageCodec;
+import org.verbenawheel.membership.AnnounceReply;
+import org.verbenawheel.membership.AnnounceStatus;
+import org.verbenawheel.membership.EndpointAnnouncement;
+import org.verbenawheel.membership.EndpointRecord;
+import org.verbenawheel.membership.LeaseToken;
+import reactor.core.publisher.Mono;
+
+/**
+ * Announces one endpoint and keeps renewing its lease, first at the home entry that the last reply
+ * named, otherwise at the next entry of the list, as the platform's balancer would choose one.
+ */
+public final class AnnouncingEndpoint implements AutoCloseable {
+  private static final Duration TIMEOUT = Duration.ofMillis(500);
+  private static final long WANTED_LEASE_MILLISECONDS = 10_000;
+  private static final long RETRY_MILLISECONDS = 200;
+  private static final ObjectMapper JSON = MessageCodec.jsonMapper();
+
+  private final EndpointRecord endpoint;
+  private final ImmutableList<String> entries;
+  private final HttpClient client;
+  private final ScheduledExecutorService renewals =
+      Executors.newSingleThreadScheduledExecutor(AnnouncingEndpoint::daemonThread);
+  private final AtomicLong sequence = new AtomicLong();
+  private Optional<String> home = Optional.empty();
+  private Optional<LeaseToken> token = Optional.empty();
+  private int nextEntry;
+  private volatile boolean granted;
+
+  /**
+   * Begins to announce an endpoint.
+   *
+   * @param endpoint what to announce
+   * @param entries the addresses of the entries, as {@code ip:port}
+   * @param client sends to any address; not closed by this object
+   */
+  public AnnouncingEndpoint(
+      EndpointRecord endpoint, ImmutableList<String> entries, HttpClient client) {
+    this.endpoint = endpoint;
+    this.entries = entries;
+    this.client = client;
+    this.nextEntry = Math.floorMod(endpoint.id().hashCode(), entries.size());
+    renewals.execute(this::announce);
+  }
+
+  /** Returns whether some entry has granted a lease. */
+  public boolean granted() {
+    return granted;
+  }
+
+  /**
+   * Says that the endpoint leaves, and stops announcing.
+   *
+   * @return whether an entry took the word
+   */
+  public boolean leave() {
+    renewals.shutdownNow();
+    String departure =
+        "{\"endpoint\":\"" + endpoint.id() + "\",\"incarnation\":" + endpoint.incarnation() + "}";
+    String target = home.orElse(entries.get(nextEntry));
+    return post(target, "/membership/departures", departure).isPresent();
+  }
+
+  /** Stops announcing without a word, as an endpoint does that dies. */
+  @Override
+  public void close() {
+    renewals.shutdownNow();
+  }
+
+  private void announce() {
+    long pauseMilliseconds = RETRY_MILLISECONDS;
+    try {
+      pauseMilliseconds = announceOnce();
+    } catch (IOException unreadable) {
+      home = Optional.empty();
+    } finally {
+      scheduleNext(pauseMilliseconds);
+    }
+  }
+
+  private void scheduleNext(long pauseMilliseconds) {
+    if (!renewals.isShutdown()) {
+      var unused = renewals.schedule(this::announce, pauseMilliseconds, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** Returns how long to wait before the next announcement, in milliseconds. */
+  private long announceOnce() throws IOException {
+    EndpointAnnouncement announcement =
+        new EndpointAnnouncement(
+            endpoint, sequence.incrementAndGet(), WANTED_LEASE_MILLISECONDS, token);
+    Optional<byte[]> answer =
+        post(home.orElse(entries.get(nextEntry)), "/membership/announcements", json(announcement));
+    if (answer.isEmpty()) {
+      home = Optional.empty();
+      nextEntry = (nextEntry + 1) % entries.size();
+      return RETRY_MILLISECONDS;
+    }
+    AnnounceReply reply = JSON.readValue(answer.get(), AnnounceReply.class);
+    home = reply.homeAddress();
+    token = reply.token();
+    granted = granted || reply.status() == AnnounceStatus.GRANTED;
+    return reply.renewAfterMilliseconds();
+  }
+
+  private Optional<byte[]> post(String address, String path, String body) {
+    HttpRequest<String> request = HttpRequest.POST("http://" + address + path, body);
+    return Mono.from(client.retrieve(request, byte[].class))
+        .timeout(TIMEOUT)
+        .onErrorResume(failure -> Mono.empty())
+        .blockOptional();
+  }
+
+  private static String json(EndpointAnnouncement announcement) throws JsonProcessingException {
+    return JSON.writeValueAsString(announcement);
+  }
+
+  private static Thread daemonThread(Runnable task) {
+    Thread thread = new Thread(task, "renewals");
+    thread.setDaemon(true);
+    return thread;
+  }
+}
--- /dev/null
+++ b/scenarios/src/main/java/org/verbenawheel/fake/FakeFleet.java
@@ -0,0 +1,134 @@
+package org.verbenawheel.fake;
+
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import io.micronaut.http.client.DefaultHttpClientConfiguration;
+import io.micronaut.http.client.HttpClient;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import org.verbenawheel.identity.AvailabilityZone;
+import org.verbenawheel.identity.EndpointId;
+import org.verbenawheel.identity.HostName;
+import org.verbenawheel.identity.Rack;
+import org.verbenawheel.identity.ServiceName;
+import org.verbenawheel.membership.EndpointRecord;
+
+/** The fake endpoints of several services, spread over availability zones, in one process. */
+public final class FakeFleet implements AutoCloseable {
+  private static final int SLOTS = 8;
+  private static final int CONNECTIONS = 64;
+  private static final int HOSTS_IN_A_RACK = 4;
+  private static final Duration READ_TIMEOUT = Duration.ofSeconds(1);
+
+  private final ImmutableList<String> entries;
+  private final ImmutableList<AvailabilityZone> availabilityZones;
+  private final HttpClient client = newClient();
+  private final long incarnation = InstantSource.system().instant().toEpochMilli();
+  private final List<FakeEndpoint> endpoints = new ArrayList<>();
+  private final List<AnnouncingEndpoint> announcers = new ArrayList<>();
+
+  /**
+   * Makes a fleet without endpoints.
+   *
+   * @param entries the addresses of the entries, as {@code ip:port}
+   * @param availabilityZones where the hosts are, in turns
+   */
+  public FakeFleet(
+      ImmutableList<String> entries, ImmutableList<AvailabilityZone> availabilityZones) {
+    this.entries = entries;
+    this.availabilityZones = availabilityZones;
+  }
+
+  /**
+   * Starts and announces the endpoints of one service.
+   *
+   * @param service the service
+   * @param count how many endpoints
+   * @throws IOException if no port is free
+   */
+  public void add(ServiceName service, int count) throws IOException {
+    for (int number = 1; number <= count; number++) {
+      FakeEndpoint endpoint = new FakeEndpoint(service + "-" + number, 0);
+      endpoints.add(endpoint);
+      announcers.add(
+          new AnnouncingEndpoint(record(service, number, endpoint.address()), entries, client));
+    }
+  }
+
+  /** Returns the endpoints. */
+  public ImmutableList<FakeEndpoint> endpoints() {
+    return ImmutableList.copyOf(endpoints);
+  }
+
+  /** Returns whether every endpoint holds a lease. */
+  public boolean allGranted() {
+    return announcers.stream().allMatch(AnnouncingEndpoint::granted);
+  }
+
+  @Override
+  public void close() {
+    announcers.forEach(AnnouncingEndpoint::leave);
+    endpoints.forEach(FakeEndpoint::close);
+    client.close();
+  }
+
+  private EndpointRecord record(ServiceName service, int number, String address) {
+    AvailabilityZone availabilityZone =
+        availabilityZones.get((number - 1) % availabilityZones.size());
+    String host = service + "-host-" + number;
+    return new EndpointRecord(
+        new EndpointId(service + "-" + number),
+        service,
+        new HostName(host),
+        new Rack(availabilityZone + "-rack-" + (number - 1) / HOSTS_IN_A_RACK),
+        availabilityZone,
+        address,
+        SLOTS,
+        CONNECTIONS,
+        incarnation);
+  }
+
+  private static HttpClient newClient() {
+    DefaultHttpClientConfiguration configuration = new DefaultHttpClientConfiguration();
+    configuration.setReadTimeout(READ_TIMEOUT);
+    configuration.setNumOfThreads(1);
+    return HttpClient.create(null, configuration);
+  }
+
+  /**
+   * Runs a fleet until the process is told to stop.
+   *
+   * @param arguments the entries' addresses and the availability zones, each separated by commas,
+   *     then {@code <service>=<count>} for each service
+   * @throws IOException if no port is free
+   */
+  public static void main(String[] arguments) throws IOException {
+    Splitter commas = Splitter.on(',');
+    FakeFleet fleet =
+        new FakeFleet(
+            ImmutableList.copyOf(commas.split(arguments[0])),
+            commas
+                .splitToStream(arguments[1])
+                .map(AvailabilityZone::new)
+                .collect(ImmutableList.toImmutableList()));
+    for (int argument = 2; argument < arguments.length; argument++) {
+      List<String> service = Splitter.on('=').splitToList(arguments[argument]);
+      fleet.add(new ServiceName(service.get(0)), Integer.parseInt(service.get(1)));
+    }
+    Runtime.getRuntime().addShutdownHook(new Thread(fleet::close, "stop"));
+    fleet.awaitStop();
+  }
+
+  private synchronized void awaitStop() {
+    try {
+      while (true) {
+        wait();
+      }
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/scenarios/src/main/java/org/verbenawheel/load/LocalDeploymentCheck.java
@@ -0,0 +1,155 @@
+package org.verbenawheel.load;
+
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.verbenawheel.request.IdempotencyKey;
+
+/**
+ * Sends requests through all entries of a running deployment and prints what became of them.
+ *
+ * <p>Of each service it asks quotes, which are idempotent, and places orders, which are not; then it
+ * sends one order again under the same key through another entry, which must not run it again.
+ */
+public final class LocalDeploymentCheck {
+  private static final int CONNECTIONS = 32;
+  private static final int CONCURRENCY = 16;
+  private static final int ORDERS_IN_TEN = 3;
+  private static final long LONGEST_WORK_MILLISECONDS = 20;
+  private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(30);
+  private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
+  private static final long SEED = 20261204;
+
+  private final ImmutableList<CallerClient> callers;
+  private final PrintStream out;
+  private final Random random = new Random(SEED);
+  private final InstantSource clock = InstantSource.system();
+  private int wrong;
+
+  private LocalDeploymentCheck(ImmutableList<CallerClient> callers, PrintStream out) {
+    this.callers = callers;
+    this.out = out;
+  }
+
+  /**
+   * Runs the check; the exit code is 0 only if every answer was whole and right.
+   *
+   * @param arguments the entries' addresses separated by commas, the number of requests a service,
+   *     then {@code <service>=<endpoints>} for each service
+   */
+  public static void main(String[] arguments) {
+    ImmutableList<CallerClient> callers =
+        Splitter.on(',')
+            .splitToStream(arguments[0])
+            .map(address -> new CallerClient(address, CONNECTIONS))
+            .collect(ImmutableList.toImmutableList());
+    List<String> services = new ArrayList<>();
+    for (int argument = 2; argument < arguments.length; argument++) {
+      services.add(Splitter.on('=').splitToList(arguments[argument]).get(0));
+    }
+    LocalDeploymentCheck check = new LocalDeploymentCheck(callers, System.out);
+    boolean right = check.run(services, Integer.parseInt(arguments[1]));
+    callers.forEach(CallerClient::close);
+    Runtime.getRuntime().halt(right ? 0 : 1);
+  }
+
+  private boolean run(List<String> services, int requests) {
+    if (!services.stream().allMatch(this::awaitService)) {
+      return false;
+    }
+    out.println();
+    out.println(LoadReport.tableHeading());
+    List<LoadReport> reports = new ArrayList<>();
+    for (String service : services) {
+      LoadReport report =
+          new ClosedLoop(
+                  callers,
+                  number -> request(service, number),
+                  LocalDeploymentCheck::isRight,
+                  ANSWER_TIMEOUT)
+              .run(requests, CONCURRENCY);
+      out.println(report.tableLine(service));
+      reports.add(report);
+      wrong += report.wrongAnswers();
+    }
+    out.println();
+    for (LoadReport report : reports) {
+      out.println("endpoints used: " + report.endpoints());
+    }
+    services.forEach(this::sendOneOrderTwice);
+    askUnknownService();
+    out.println(wrong == 0 ? "all answers were whole and right" : wrong + " answers were wrong");
+    return wrong == 0;
+  }
+
+  private boolean awaitService(String service) {
+    Instant end = clock.instant().plus(START_TIMEOUT);
+    String path = "/service/" + service + "/quotes";
+    while (clock.instant().isBefore(end)) {
+      boolean allServe =
+          callers.stream()
+              .map(caller -> caller.send(LoadRequest.get(path, 0), ANSWER_TIMEOUT).join())
+              .allMatch(result -> result.status() == 200);
+      if (allServe) {
+        return true;
+      }
+      pause();
+    }
+    out.println(service + " was not served by every entry within " + START_TIMEOUT);
+    return false;
+  }
+
+  private LoadRequest request(String service, int number) {
+    long workMilliseconds = 1 + Math.floorMod(number * 7L, LONGEST_WORK_MILLISECONDS);
+    if (number % 10 >= ORDERS_IN_TEN) {
+      return LoadRequest.get("/service/" + service + "/quotes", workMilliseconds);
+    }
+    byte[] body = ("order " + service + " " + number).getBytes(StandardCharsets.UTF_8);
+    return LoadRequest.post("/service/" + service + "/orders", newKey(), body, workMilliseconds);
+  }
+
+  private synchronized IdempotencyKey newKey() {
+    return IdempotencyKey.create(clock.instant(), random.nextLong());
+  }
+
+  /** An endpoint answers with its name, a colon and the body that it was sent. */
+  private static boolean isRight(LoadRequest request, CallerResult result) {
+    String sent = new String(request.body(), StandardCharsets.UTF_8);
+    return result.status() == 200
+        && result.text().equals(result.endpoint().orElse("") + ":" + sent);
+  }
+
+  private void sendOneOrderTwice(String service) {
+    byte[] body = "one order".getBytes(StandardCharsets.UTF_8);
+    LoadRequest order = LoadRequest.post("/service/" + service + "/orders", newKey(), body, 1);
+    CallerResult first = callers.get(0).send(order, ANSWER_TIMEOUT).join();
+    CallerResult second = callers.get(1).send(order, ANSWER_TIMEOUT).join();
+    boolean same = isRight(order, first) && first.text().equals(second.text());
+    wrong += same ? 0 : 1;
+    out.println(
+        service
+            + ": the same key through another entry got "
+            + (same ? "the first answer" : second.status() + " " + second.text()));
+  }
+
+  private void askUnknownService() {
+    CallerResult refused =
+        callers.get(0).send(LoadRequest.get("/service/no-such-service/x", 0), ANSWER_TIMEOUT).join();
+    out.println("a service that does not exist: " + refused.status() + " " + refused.text());
+  }
+
+  private static void pause() {
+    Executor later = CompletableFuture.delayedExecutor(200, TimeUnit.MILLISECONDS);
+    CompletableFuture.runAsync(() -> {}, later).join();
+  }
+}
