--- a/scenarios/src/main/java/org/verbenawheel/load/CallerClient.java
+++ b/scenarios/src/main/java/org/verbenawheel/load/CallerClient.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.verbenawheel.request.Body;
 import org.verbenawheel.request.IdempotencyKey;
 import org.verbenawheel.request.RunVerdict;
 import reactor.core.publisher.Mono;
@@ -64,7 +65,7 @@
           CallerResult.NO_STATUS,
           Optional.empty(),
           Optional.empty(),
-          new byte[0],
+          Body.EMPTY,
           message,
           latencyMicroseconds);
     }
@@ -72,7 +73,7 @@
         answer.code(),
         Optional.ofNullable(answer.getHeaders().get(RunVerdict.HEADER)),
         Optional.ofNullable(answer.getHeaders().get("Verbenawheel-Endpoint")),
-        answer.getBody().orElse(new byte[0]),
+        answer.getBody().map(Body::copyOf).orElse(Body.EMPTY),
         "",
         latencyMicroseconds);
   }
@@ -80,8 +81,8 @@
   private static HttpRequest<byte[]> toHttp(LoadRequest request) {
     MutableHttpRequest<byte[]> http =
         HttpRequest.create(HttpMethod.parse(request.method()), request.path());
-    if (request.body().length > 0) {
-      http.body(request.body()).contentType("application/octet-stream");
+    if (request.body().length() > 0) {
+      http.body(request.body().toByteArray()).contentType("application/octet-stream");
     }
     request.key().ifPresent(key -> http.header(IdempotencyKey.HEADER, key.value()));
     request
--- a/scenarios/src/main/java/org/verbenawheel/load/CallerResult.java
+++ b/scenarios/src/main/java/org/verbenawheel/load/CallerResult.java
@@ -1,7 +1,7 @@
 package org.verbenawheel.load;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import org.verbenawheel.request.Body;
 
 /**
  * What a caller got for one request.
@@ -17,7 +17,7 @@
     int status,
     Optional<String> verdict,
     Optional<String> endpoint,
-    byte[] body,
+    Body body,
     String failure,
     long latencyMicroseconds) {
   /** The status of a request that got no answer. */
@@ -25,6 +25,6 @@
 
   /** Returns the body read as UTF-8. */
   public String text() {
-    return new String(body, StandardCharsets.UTF_8);
+    return body.toText();
   }
 }
--- a/scenarios/src/main/java/org/verbenawheel/load/LoadRequest.java
+++ b/scenarios/src/main/java/org/verbenawheel/load/LoadRequest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.verbenawheel.request.Body;
 import org.verbenawheel.request.IdempotencyKey;
 
 /**
@@ -17,7 +18,7 @@
 public record LoadRequest(
     String method,
     String path,
-    byte[] body,
+    Body body,
     Optional<IdempotencyKey> key,
     Optional<Duration> deadline,
     long workMicroseconds) {
@@ -32,7 +33,7 @@
     return new LoadRequest(
         "GET",
         path + "?milliseconds=" + workMilliseconds,
-        new byte[0],
+        Body.EMPTY,
         Optional.empty(),
         Optional.empty(),
         workMilliseconds * 1_000);
@@ -47,7 +48,7 @@
    * @param workMilliseconds how long the endpoint is asked to work
    */
   public static LoadRequest post(
-      String path, IdempotencyKey key, byte[] body, long workMilliseconds) {
+      String path, IdempotencyKey key, Body body, long workMilliseconds) {
     return new LoadRequest(
         "POST",
         path + "?milliseconds=" + workMilliseconds,
--- a/scenarios/src/main/java/org/verbenawheel/load/LocalDeploymentCheck.java
+++ b/scenarios/src/main/java/org/verbenawheel/load/LocalDeploymentCheck.java
@@ -3,7 +3,6 @@
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import java.io.PrintStream;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -13,13 +12,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import org.verbenawheel.request.Body;
 import org.verbenawheel.request.IdempotencyKey;
 
 /**
  * Sends requests through all entries of a running deployment and prints what became of them.
  *
- * <p>Of each service it asks quotes, which are idempotent, and places orders, which are not; then it
- * sends one order again under the same key through another entry, which must not run it again.
+ * <p>Of each service it asks quotes, which are idempotent, and places orders, which are not; then
+ * it sends one order again under the same key through another entry, which must not run it again.
  */
 public final class LocalDeploymentCheck {
   private static final int CONNECTIONS = 32;
@@ -114,7 +114,7 @@
     if (number % 10 >= ORDERS_IN_TEN) {
       return LoadRequest.get("/service/" + service + "/quotes", workMilliseconds);
     }
-    byte[] body = ("order " + service + " " + number).getBytes(StandardCharsets.UTF_8);
+    Body body = Body.ofText("order " + service + " " + number);
     return LoadRequest.post("/service/" + service + "/orders", newKey(), body, workMilliseconds);
   }
 
@@ -124,13 +124,13 @@
 
   /** An endpoint answers with its name, a colon and the body that it was sent. */
   private static boolean isRight(LoadRequest request, CallerResult result) {
-    String sent = new String(request.body(), StandardCharsets.UTF_8);
+    String sent = request.body().toText();
     return result.status() == 200
         && result.text().equals(result.endpoint().orElse("") + ":" + sent);
   }
 
   private void sendOneOrderTwice(String service) {
-    byte[] body = "one order".getBytes(StandardCharsets.UTF_8);
+    Body body = Body.ofText("one order");
     LoadRequest order = LoadRequest.post("/service/" + service + "/orders", newKey(), body, 1);
     CallerResult first = callers.get(0).send(order, ANSWER_TIMEOUT).join();
     CallerResult second = callers.get(1).send(order, ANSWER_TIMEOUT).join();
@@ -144,7 +144,10 @@
 
   private void askUnknownService() {
     CallerResult refused =
-        callers.get(0).send(LoadRequest.get("/service/no-such-service/x", 0), ANSWER_TIMEOUT).join();
+        callers
+            .get(0)
+            .send(LoadRequest.get("/service/no-such-service/x", 0), ANSWER_TIMEOUT)
+            .join();
     out.println("a service that does not exist: " + refused.status() + " " + refused.text());
   }
 
