Questionnaire: generate a configuration from answers, with a reason for each number

Answers come from a terminal or a file and are read by the same code. Contradictions are told all at once with the fix: a budget that no pool of the allowed size keeps with one zone lost, one zone only, a wait below the network and the work, and others.

--- a/command/src/main/java/org/verbenawheel/command/CommandCatalog.java
+++ b/command/src/main/java/org/verbenawheel/command/CommandCatalog.java
@@ -28,6 +28,7 @@
             new HostListCommand(),
             new HostRegisterCommand(),
             new HostRetireCommand(),
+            new QuestionnaireCommand(),
             new DumpCommand()));
   }
 
--- a/command/src/main/java/org/verbenawheel/command/CommandContext.java
+++ b/command/src/main/java/org/verbenawheel/command/CommandContext.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -23,12 +24,15 @@
 
   private final CommandLine line;
   private final Output output;
+  private final InputStream input;
   private final Map<String, String> environment;
   private @Nullable OperatorClient client;
 
-  CommandContext(CommandLine line, Output output, Map<String, String> environment) {
+  CommandContext(
+      CommandLine line, Output output, InputStream input, Map<String, String> environment) {
     this.line = line;
     this.output = output;
+    this.input = input;
     this.environment = environment;
   }
 
@@ -37,6 +41,11 @@
     return output;
   }
 
+  /** Returns what a person types. */
+  InputStream input() {
+    return input;
+  }
+
   /**
    * Returns an argument; the command line was checked to have as many as the command defines.
    *
--- a/command/src/main/java/org/verbenawheel/command/Main.java
+++ b/command/src/main/java/org/verbenawheel/command/Main.java
@@ -1,5 +1,6 @@
 package org.verbenawheel.command;
 
+import java.io.InputStream;
 import java.io.PrintStream;
 import java.util.Arrays;
 import java.util.List;
@@ -14,16 +15,19 @@
   private static final String HELP_OPTION = "--help";
 
   private final CommandCatalog catalog;
+  private final InputStream standardInput;
   private final PrintStream standardOutput;
   private final PrintStream standardError;
   private final Map<String, String> environment;
 
   Main(
       CommandCatalog catalog,
+      InputStream standardInput,
       PrintStream standardOutput,
       PrintStream standardError,
       Map<String, String> environment) {
     this.catalog = catalog;
+    this.standardInput = standardInput;
     this.standardOutput = standardOutput;
     this.standardError = standardError;
     this.environment = environment;
@@ -35,7 +39,8 @@
    * @param arguments the command and its options
    */
   public static void main(String[] arguments) {
-    Main main = new Main(CommandCatalog.standard(), System.out, System.err, System.getenv());
+    Main main =
+        new Main(CommandCatalog.standard(), System.in, System.out, System.err, System.getenv());
     System.exit(main.run(Arrays.asList(arguments)).number());
   }
 
@@ -76,7 +81,7 @@
     CommandLine line =
         parse(definition, arguments.subList(definition.words().size(), arguments.size()));
     Output output = new Output(format(line), standardOutput, standardError);
-    try (CommandContext context = new CommandContext(line, output, environment)) {
+    try (CommandContext context = new CommandContext(line, output, standardInput, environment)) {
       command.run(context);
     }
   }
--- a/command/src/main/java/org/verbenawheel/command/Output.java
+++ b/command/src/main/java/org/verbenawheel/command/Output.java
@@ -50,6 +50,11 @@
     standardError.println(text);
   }
 
+  /** Returns where prompts go. */
+  PrintStream prompts() {
+    return standardError;
+  }
+
   private static String json(Object value) {
     try {
       return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(value);
--- /dev/null
+++ b/command/src/main/java/org/verbenawheel/command/QuestionnaireCommand.java
@@ -0,0 +1,134 @@
+package org.verbenawheel.command;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.verbenawheel.configuration.ConfigurationDocuments;
+import org.verbenawheel.document.Document;
+import org.verbenawheel.document.DocumentException;
+import org.verbenawheel.document.DocumentReader;
+import org.verbenawheel.questionnaire.AnswersReader;
+import org.verbenawheel.questionnaire.ConfigurationGenerator;
+import org.verbenawheel.questionnaire.ContradictionException;
+import org.verbenawheel.questionnaire.DerivedNumber;
+import org.verbenawheel.questionnaire.GeneratedConfiguration;
+import org.verbenawheel.questionnaire.TerminalQuestionnaire;
+
+/** Generates a configuration from answers, shows the reason for each number, and applies it. */
+final class QuestionnaireCommand implements Command {
+  private static final String ANSWERS = "answers";
+  private static final String SAVE_ANSWERS = "save-answers";
+  private static final String WRITE = "write";
+  private static final String APPLY = "apply";
+  private static final String EXPECTED_VERSION = "expected-version";
+
+  @Override
+  public CommandDefinition definition() {
+    return CommandDefinition.of(
+        "questionnaire",
+        "Generates a configuration from answers, with the reason for each number.",
+        new Options()
+            .addOption(
+                GlobalOptions.valued(
+                    ANSWERS, "file", "answers file; without it the questions are asked here"))
+            .addOption(
+                GlobalOptions.valued(
+                    SAVE_ANSWERS, "file", "where answers given here are written, for next time"))
+            .addOption(
+                GlobalOptions.valued(WRITE, "file", "where the configuration is written as YAML"))
+            .addOption(
+                Option.builder().longOpt(APPLY).desc("puts the configuration in force").get())
+            .addOption(
+                GlobalOptions.valued(
+                    EXPECTED_VERSION,
+                    "version",
+                    "with --apply: the version that it replaces; 0, the first configuration, when"
+                        + " not given")));
+  }
+
+  @Override
+  public void run(CommandContext context) throws CommandFailedException {
+    GeneratedConfiguration generated = generate(readAnswers(context));
+    Optional<String> file = context.option(WRITE);
+    if (file.isPresent()) {
+      write(file.get(), ConfigurationDocuments.write(generated.configuration()));
+    }
+    if (!context.has(APPLY)) {
+      context.output().result(table(generated), generated);
+      return;
+    }
+    context.output().note(table(generated).toString());
+    long expectedVersion = context.numberOption(EXPECTED_VERSION, 0, Long.MAX_VALUE).orElse(0L);
+    ConfigurationChanges.apply(context, expectedVersion, generated.configuration());
+  }
+
+  private static Document readAnswers(CommandContext context) throws CommandFailedException {
+    Optional<String> file = context.option(ANSWERS);
+    try {
+      return file.isPresent()
+          ? DocumentReader.readFile(Path.of(file.get()))
+          : DocumentReader.read("answers", ask(context).getBytes(UTF_8));
+    } catch (DocumentException refused) {
+      throw badAnswers(refused);
+    }
+  }
+
+  private static String ask(CommandContext context) throws CommandFailedException {
+    BufferedReader reader = new BufferedReader(new InputStreamReader(context.input(), UTF_8));
+    try {
+      String answers = new TerminalQuestionnaire(reader, context.output().prompts()).ask();
+      Optional<String> file = context.option(SAVE_ANSWERS);
+      if (file.isPresent()) {
+        write(file.get(), answers);
+      }
+      return answers;
+    } catch (IOException unreadable) {
+      throw new CommandFailedException(
+          ExitCode.BAD_INPUT,
+          String.valueOf(unreadable.getMessage()),
+          "answer every question, or give --answers with a file");
+    }
+  }
+
+  private static GeneratedConfiguration generate(Document answers) throws CommandFailedException {
+    try {
+      return ConfigurationGenerator.generate(AnswersReader.read(answers));
+    } catch (DocumentException refused) {
+      throw badAnswers(refused);
+    } catch (ContradictionException contradictory) {
+      throw new CommandFailedException(
+          ExitCode.BAD_INPUT,
+          "the answers contradict one another:\n" + contradictory.getMessage(),
+          "change the answers as said after each");
+    }
+  }
+
+  private static CommandFailedException badAnswers(DocumentException refused) {
+    return new CommandFailedException(
+        ExitCode.BAD_INPUT, String.valueOf(refused.getMessage()), "mend these answers");
+  }
+
+  private static void write(String file, String text) throws CommandFailedException {
+    try {
+      Files.writeString(Path.of(file), text);
+    } catch (IOException unwritable) {
+      throw new CommandFailedException(
+          ExitCode.BAD_INPUT, "cannot write: " + unwritable, "give a file that can be written");
+    }
+  }
+
+  private static Table table(GeneratedConfiguration generated) {
+    Table table = new Table("key", "value", "reason");
+    for (DerivedNumber number : generated.numbers()) {
+      table.add(number.key(), number.value(), number.reason());
+    }
+    return table;
+  }
+}
--- a/command/src/test/java/org/verbenawheel/command/MainTest.java
+++ b/command/src/test/java/org/verbenawheel/command/MainTest.java
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Iterables;
+import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -35,6 +36,7 @@
   private final FakeControl control = startControl();
   private String controls = control.address();
   private Path file = Path.of("");
+  private String typed = "";
 
   private static FakeControl startControl() {
     try {
@@ -153,6 +155,69 @@
     assertThat(errors()).contains("no host is named h-2");
   }
 
+  @Test
+  void generatesAndAppliesAConfigurationFromAnswers() throws IOException {
+    assertThat(run("questionnaire", "--answers", "../deployments/derwent.yaml", "--apply"))
+        .isEqualTo(ExitCode.DONE);
+    assertThat(output()).contains("configuration accepted as version 1");
+    assertThat(errors()).contains("the caller waits 3000 ms");
+    assertThat(run("questionnaire", "--answers", "../deployments/derwent.yaml", "--apply"))
+        .isEqualTo(ExitCode.REFUSED);
+    assertThat(errors()).contains("version 1");
+    Path written = folder.resolve("generated.yaml");
+    run("questionnaire", "--answers", "../deployments/entregafoto.yaml", "--write", "" + written);
+    run("configuration", "diff", written.toString());
+    assertThat(output()).contains("deployment: derwent -> entregafoto");
+  }
+
+  @Test
+  void asksAtATerminal() {
+    typed =
+        String.join(
+            "\n",
+            ImmutableList.of(
+                "derwent",
+                "north side",
+                "tamar, midlands",
+                "hub",
+                "",
+                "",
+                "hub",
+                "BATCH",
+                "",
+                "",
+                "",
+                "10",
+                "",
+                "",
+                "100",
+                "200",
+                "",
+                "",
+                "",
+                "",
+                "",
+                ""));
+    assertThat(run("questionnaire")).isEqualTo(ExitCode.DONE);
+    assertThat(errors()).contains("found 'north side'; expected names");
+    assertThat(output()).contains("pools.hub.minimumHosts");
+    typed = "derwent\n";
+    assertThat(run("questionnaire")).isEqualTo(ExitCode.BAD_INPUT);
+    assertThat(errors()).contains("the input ended");
+  }
+
+  @Test
+  void refusesContradictoryAnswers() throws IOException {
+    String answers = Files.readString(Path.of("../deployments/derwent.yaml"));
+    Path contradictory =
+        Files.writeString(
+            folder.resolve("answers.yaml"),
+            answers.replace("[tamar, derwent, midlands]", "[tamar]"));
+    assertThat(run("questionnaire", "--answers", contradictory.toString()))
+        .isEqualTo(ExitCode.BAD_INPUT);
+    assertThat(errors()).contains("its loss is the loss of every runner");
+  }
+
   @Test
   void dumpsOneProcess() {
     assertThat(run("dump", "--process", control.address())).isEqualTo(ExitCode.DONE);
@@ -219,6 +284,7 @@
     Main main =
         new Main(
             CommandCatalog.standard(),
+            new ByteArrayInputStream(typed.getBytes(UTF_8)),
             new PrintStream(output, true, UTF_8),
             new PrintStream(errors, true, UTF_8),
             ImmutableMap.of(
--- a/core/src/main/java/org/verbenawheel/document/DocumentFields.java
+++ b/core/src/main/java/org/verbenawheel/document/DocumentFields.java
@@ -229,6 +229,16 @@
     problems.add(document.problem(path(key), found, expected));
   }
 
+  /**
+   * Returns whether a key has no problem so far, so that a further check of its value makes sense.
+   *
+   * @param key the key
+   */
+  public boolean isSound(String key) {
+    String path = path(key);
+    return problems.stream().noneMatch(problem -> problem.key().equals(path));
+  }
+
   /** Adds a problem for each key that nobody read. */
   public void refuseUnknownKeys() {
     for (Map.Entry<String, JsonNode> entry : map.properties()) {
