Number the copies for a dispatcher's successor and resend lost ones

Change: copies carry a number, the successor asks for a whole one after a gap, and the last number is repeated once on the next tick.

--- a/core/src/main/java/org/verbenawheel/dispatch/DispatchMessages.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/DispatchMessages.java
@@ -32,6 +32,7 @@
           .add(306, Registration.class)
           .add(307, HoldQuery.class)
           .add(308, LedgerCopy.class)
+          .add(309, LedgerCopyRequest.class)
           .build();
 
   private DispatchMessages() {}
@@ -147,12 +148,36 @@
    * Tells the entry that would become dispatcher next what the present one granted and got back.
    *
    * @param service the service
+   * @param sequence grows by one with each copy that holds news
+   * @param whole whether the copy holds all slots that are held, and not only the news
    * @param held slots held since the last copy
    * @param ended attempts whose slots are free since the last copy
    */
   public record LedgerCopy(
-      ServiceName service, ImmutableList<HeldSlot> held, ImmutableList<AttemptKey> ended)
-      implements DispatchMessage {}
+      ServiceName service,
+      long sequence,
+      boolean whole,
+      ImmutableList<HeldSlot> held,
+      ImmutableList<AttemptKey> ended)
+      implements DispatchMessage {
+
+    /**
+     * Returns a copy of all that a dispatcher holds when it hands its service over.
+     *
+     * @param service the service
+     * @param held all slots that are held
+     */
+    static LedgerCopy ofHandOver(ServiceName service, ImmutableList<HeldSlot> held) {
+      return new LedgerCopy(service, 0, true, held, ImmutableList.of());
+    }
+  }
+
+  /**
+   * Asks the dispatcher for a whole copy, because one was lost.
+   *
+   * @param service the service
+   */
+  public record LedgerCopyRequest(ServiceName service) implements DispatchMessage {}
 
   /**
    * A slot that is held, as one process tells another.
--- a/core/src/main/java/org/verbenawheel/dispatch/EntryDispatch.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/EntryDispatch.java
@@ -17,6 +17,7 @@
 import org.verbenawheel.dispatch.DispatchMessages.Grant;
 import org.verbenawheel.dispatch.DispatchMessages.HoldQuery;
 import org.verbenawheel.dispatch.DispatchMessages.LedgerCopy;
+import org.verbenawheel.dispatch.DispatchMessages.LedgerCopyRequest;
 import org.verbenawheel.dispatch.DispatchMessages.Queued;
 import org.verbenawheel.dispatch.DispatchMessages.Refused;
 import org.verbenawheel.dispatch.DispatchMessages.Registration;
@@ -190,16 +191,15 @@
     dispatchers.put(service, dispatcher);
     addEffects(dispatcher.onView(now, view));
     addEffects(
-        dispatcher.onLedgerCopy(
-            now, new LedgerCopy(service, copies.of(service, now), ImmutableList.of())));
+        dispatcher.onLedgerCopy(now, LedgerCopy.ofHandOver(service, copies.of(service, now))));
     copies.forget(service);
   }
 
   private void handOver(
       Instant now, ServiceName service, ServiceDispatcher dispatcher, ProcessId next) {
-    LedgerCopy copy = new LedgerCopy(service, dispatcher.heldSlots(now), ImmutableList.of());
+    LedgerCopy copy = LedgerCopy.ofHandOver(service, dispatcher.heldSlots(now));
     send(next, copy);
-    copies.add(now, copy);
+    boolean unused = copies.add(now, copy);
   }
 
   private void handleToSelf(Instant now) {
@@ -216,7 +216,9 @@
     } else if (message instanceof Registration registration) {
       ask(registration.service(), dispatcher -> dispatcher.onRegistration(now, from, registration));
     } else if (message instanceof LedgerCopy copy) {
-      takeCopy(now, copy);
+      takeCopy(now, from, copy);
+    } else if (message instanceof LedgerCopyRequest request) {
+      ask(request.service(), dispatcher -> dispatcher.onLedgerCopyRequest(now));
     } else if (message instanceof Grant grant) {
       takeGrant(now, from, grant);
     } else if (message instanceof Refused refusal) {
@@ -238,13 +240,13 @@
     }
   }
 
-  private void takeCopy(Instant now, LedgerCopy copy) {
+  private void takeCopy(Instant now, ProcessId from, LedgerCopy copy) {
     ServiceDispatcher dispatcher = dispatchers.get(copy.service());
-    if (dispatcher == null) {
-      copies.add(now, copy);
-      return;
+    if (dispatcher != null) {
+      addEffects(dispatcher.onLedgerCopy(now, copy));
+    } else if (!copies.add(now, copy)) {
+      send(from, new LedgerCopyRequest(copy.service()));
     }
-    addEffects(dispatcher.onLedgerCopy(now, copy));
   }
 
   /** Only the dispatcher that knows all that this entry holds may add to it. */
--- a/core/src/main/java/org/verbenawheel/dispatch/LedgerCopies.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/LedgerCopies.java
@@ -18,13 +18,24 @@
  */
 final class LedgerCopies {
   private final Map<ServiceName, Map<AttemptKey, SlotLease>> leases = new HashMap<>();
+  private final Map<ServiceName, Long> sequences = new HashMap<>();
 
-  /** Takes a copy. */
-  void add(Instant now, LedgerCopy copy) {
+  /** Takes a copy. Returns whether none was lost since the last whole one. */
+  boolean add(Instant now, LedgerCopy copy) {
     Map<AttemptKey, SlotLease> ofService =
         leases.computeIfAbsent(copy.service(), unknown -> new HashMap<>());
+    if (copy.whole()) {
+      ofService.clear();
+    }
     copy.held().forEach(slot -> ofService.put(slot.key(), HeldSlots.toLease(slot, now)));
     copy.ended().forEach(ofService::remove);
+    boolean hasNews = !copy.held().isEmpty() || !copy.ended().isEmpty();
+    long expected = sequences.getOrDefault(copy.service(), 0L) + (hasNews ? 1 : 0);
+    boolean isComplete = copy.whole() || copy.sequence() == expected;
+    if (isComplete) {
+      sequences.put(copy.service(), copy.sequence());
+    }
+    return isComplete;
   }
 
   /** Returns the slots known to be held at a service. */
@@ -37,6 +48,7 @@
   /** Forgets a service, because this entry dispatches it itself now. */
   void forget(ServiceName service) {
     leases.remove(service);
+    sequences.remove(service);
   }
 
   /** Forgets the leases that have expired. */
--- a/core/src/main/java/org/verbenawheel/dispatch/ServiceDispatcher.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/ServiceDispatcher.java
@@ -58,11 +58,9 @@
   private final RunTimes runTimes = new RunTimes();
   private final RetryBudget retries;
   private final SlotPool pool;
+  private final SuccessorCopy copy;
   private ServiceSettings settings;
-  private Optional<ProcessId> successor = Optional.empty();
   private ImmutableList.Builder<DispatchEffect> effects = ImmutableList.builder();
-  private ImmutableList.Builder<HeldSlot> newlyHeld = ImmutableList.builder();
-  private ImmutableList.Builder<AttemptKey> newlyEnded = ImmutableList.builder();
 
   /**
    * Makes the dispatcher of a service. It grants nothing before it has a view.
@@ -78,6 +76,7 @@
     this.queue = new AdmissionQueue(order);
     this.retries = new RetryBudget(settings.retryBudgetShare());
     this.pool = new SlotPool(settings);
+    this.copy = new SuccessorCopy(settings.name());
   }
 
   /**
@@ -125,8 +124,8 @@
     takeover.onRegistered(from, registration.entryIncarnation());
     registration.held().forEach(slot -> holdUnlessKnown(now, slot));
     registration.copies().stream()
-        .filter(copy -> !takeover.speaksForItself(copy.holder(), copy.holderIncarnation()))
-        .forEach(copy -> holdUnlessKnown(now, copy));
+        .filter(slot -> !takeover.speaksForItself(slot.holder(), slot.holderIncarnation()))
+        .forEach(slot -> holdUnlessKnown(now, slot));
     for (Ticket ticket : registration.waiting()) {
       if (pool.ledger().find(ticket.key()).isPresent()) {
         grantAgain(now, from, ticket.key());
@@ -141,16 +140,27 @@
    * Takes what an earlier dispatcher granted.
    *
    * @param now the present moment
-   * @param copy the slots held
+   * @param earlier the slots held
    * @return what to do
    */
-  public ImmutableList<DispatchEffect> onLedgerCopy(Instant now, LedgerCopy copy) {
-    copy.held().stream()
+  public ImmutableList<DispatchEffect> onLedgerCopy(Instant now, LedgerCopy earlier) {
+    earlier.held().stream()
         .filter(slot -> !takeover.speaksForItself(slot.holder(), slot.holderIncarnation()))
         .forEach(slot -> holdUnlessKnown(now, slot));
     return finish(now);
   }
 
+  /**
+   * Takes the word that the entry which is next missed a copy.
+   *
+   * @param now the present moment
+   * @return what to do
+   */
+  public ImmutableList<DispatchEffect> onLedgerCopyRequest(Instant now) {
+    copy.sendWhole();
+    return finish(now);
+  }
+
   /**
    * Takes a view of the membership.
    *
@@ -161,10 +171,10 @@
   public ImmutableList<DispatchEffect> onView(Instant now, MembershipView view) {
     pool.changeView(view);
     takeover.changeLive(view.liveEntries(), now).forEach(queue::removeAllOf);
-    successor =
+    copy.changeSuccessor(
         DispatcherElection.ranking(settings.name(), view.liveEntries()).stream()
             .filter(entry -> !entry.equals(self))
-            .findFirst();
+            .findFirst());
     askForRegistrations();
     return finish(now);
   }
@@ -192,6 +202,7 @@
   public ImmutableList<DispatchEffect> onTick(Instant now) {
     askForRegistrations();
     queryOldHolds(now);
+    copy.repeat().ifPresent(effects::add);
     return finish(now);
   }
 
@@ -372,7 +383,7 @@
             "heldAtEndpoint", String.valueOf(pool.ledger().held(endpoint.id())),
             "stillWaiting", String.valueOf(queue.size())));
     pool.hold(lease, ticket.length() == WorkLength.LONG);
-    newlyHeld.add(HeldSlots.of(lease, now));
+    copy.addHeld(HeldSlots.of(lease, now));
     sendGrant(now, lease, endpoint);
   }
 
@@ -410,7 +421,7 @@
           Duration.ofMillis(settings.shortWorkMilliseconds()));
     }
     if (report.endpointKnownFree()) {
-      newlyEnded.add(lease.key());
+      copy.addEnded(lease.key());
     }
     if (pool.release(lease, report, now)) {
       explain(
@@ -428,7 +439,7 @@
     }
     queue.remove(slot.key());
     pool.hold(HeldSlots.toLease(slot, now), runTimes.lengthOf(slot.route()) == WorkLength.LONG);
-    newlyHeld.add(slot);
+    copy.addHeld(slot);
   }
 
   private void refuseHopeless(Instant now) {
@@ -506,28 +517,18 @@
         new DispatchEffect.Explain(new Decision(now, "routing", subject, outcome, reason, inputs)));
   }
 
+  /** The copy goes out before the grants, so that it is on its way when an attempt starts. */
   private ImmutableList<DispatchEffect> finish(Instant now) {
     pool.advanceTo(now);
     refuseHopeless(now);
     grantWaiting(now);
     ImmutableList.Builder<DispatchEffect> inOrder = ImmutableList.builder();
-    copyForSuccessor().ifPresent(inOrder::add);
+    copy.next(() -> heldSlots(now).iterator()).ifPresent(inOrder::add);
     inOrder.addAll(effects.build());
     effects = ImmutableList.builder();
     return inOrder.build();
   }
 
-  /** The copy goes out before the grants, so that it is on its way when an attempt starts. */
-  private Optional<DispatchEffect> copyForSuccessor() {
-    LedgerCopy copy = new LedgerCopy(settings.name(), newlyHeld.build(), newlyEnded.build());
-    newlyHeld = ImmutableList.builder();
-    newlyEnded = ImmutableList.builder();
-    if (copy.held().isEmpty() && copy.ended().isEmpty()) {
-      return Optional.empty();
-    }
-    return successor.map(entry -> new DispatchEffect.Send(entry, copy));
-  }
-
   /** One start of an entry's process. */
   private record Holder(ProcessId entry, long incarnation) {}
 }
