Refuse a false length inside a message before making room for it

Cause: a 13-byte message that claims a 268 MB byte string made the decoder allocate 268,389,248 bytes before it failed (MessageCodecTest, allocated bytes of the thread); a few of them could end a process. Change: decode walks the MessagePack headers first; they fail on a length beyond the bytes. Iterative, so nesting costs no stack. Ruled out: skipValue of the whole message, whose int counter overflows on a long array header and then checks nothing more. After: below the test's bound of 1,000,000 bytes.

--- a/core/src/main/java/org/verbenawheel/codec/MessageCodec.java
+++ b/core/src/main/java/org/verbenawheel/codec/MessageCodec.java
@@ -87,9 +87,23 @@
               .orElseThrow(
                   () -> new MalformedMessageException("message kind not known: " + number));
       int start = (int) unpacker.getTotalReadBytes();
+      requireWhole(unpacker);
       return mapper.readValue(bytes, start, bytes.length - start, kind);
     } catch (IOException | MessagePackException | IllegalArgumentException malformed) {
       throw new MalformedMessageException("message cannot be decoded", malformed);
     }
   }
+
+  /** Fails on a length beyond the bytes, for which the mapper would make room before it fails. */
+  private static void requireWhole(MessageUnpacker unpacker) throws IOException {
+    long values = 1;
+    while (values > 0) {
+      values--;
+      switch (unpacker.getNextFormat().getValueType()) {
+        case ARRAY -> values += unpacker.unpackArrayHeader();
+        case MAP -> values += 2L * unpacker.unpackMapHeader();
+        default -> unpacker.skipValue();
+      }
+    }
+  }
 }
--- a/core/src/test/java/org/verbenawheel/codec/MessageCodecTest.java
+++ b/core/src/test/java/org/verbenawheel/codec/MessageCodecTest.java
@@ -5,7 +5,10 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.verbenawheel.identity.ServiceName;
@@ -59,6 +62,37 @@
     }
   }
 
+  @Test
+  void doesNotMakeRoomForALengthThatIsFalse() {
+    byte[] lie = {
+      2,
+      (byte) 0x81,
+      (byte) 0xa5,
+      'b',
+      'y',
+      't',
+      'e',
+      's',
+      (byte) 0x91,
+      (byte) 0xc6,
+      0x0f,
+      (byte) 0xff,
+      0,
+      0
+    };
+    MessageCodec ofBytes = new MessageCodec(MessageKinds.builder().add(2, Bytes.class).build());
+    assertThrows(MalformedMessageException.class, () -> ofBytes.decode(lie));
+    long before = allocatedBytes();
+    assertThrows(MalformedMessageException.class, () -> ofBytes.decode(lie));
+    assertThat(allocatedBytes() - before).isLessThan(1_000_000);
+  }
+
+  private static long allocatedBytes() {
+    return ((ThreadMXBean) ManagementFactory.getThreadMXBean()).getCurrentThreadAllocatedBytes();
+  }
+
+  record Bytes(List<byte[]> bytes) implements PeerMessage {}
+
   record Sample(
       ServiceName service,
       Optional<Instant> at,
