--- a/daemon/src/main/java/org/verbenawheel/daemon/DaemonCommandLine.java
+++ b/daemon/src/main/java/org/verbenawheel/daemon/DaemonCommandLine.java
@@ -24,8 +24,7 @@
           .argName("file")
           .desc("the YAML file with the settings of this process")
           .get();
-  private static final Option HELP =
-      Option.builder().longOpt("help").desc("print this help").get();
+  private static final Option HELP = Option.builder().longOpt("help").desc("print this help").get();
 
   private DaemonCommandLine() {}
 
--- a/wire/src/main/java/org/verbenawheel/wire/PeerLink.java
+++ b/wire/src/main/java/org/verbenawheel/wire/PeerLink.java
@@ -223,7 +223,8 @@
   }
 
   private void logEnd(CloseReason reason, boolean wasConnected) {
-    if (!wasConnected && lastFailure.equals(reason.toString())) {
+    boolean repeated = !wasConnected && lastFailure.equals(reason.toString());
+    if (stopped || repeated) {
       return;
     }
     lastFailure = reason.toString();
