--- a/core/src/test/java/org/verbenawheel/membership/FakeEntries.java
+++ b/core/src/test/java/org/verbenawheel/membership/FakeEntries.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.Sets;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -31,11 +32,13 @@
 
   final MembershipTimings timings = MembershipTimings.DEFAULT;
   private final Random random;
-  private final Map<ProcessId, EndpointMembership> running = new TreeMap<>();
+  private final EntryDecisions.Factory factory;
+  private final Map<ProcessId, EntryDecisions> running = new TreeMap<>();
   private final Map<ProcessId, Instant> lastTick = new LinkedHashMap<>();
   private final Set<Pair> cuts = new HashSet<>();
   private final Set<ProcessId> frozen = new HashSet<>();
   private final PriorityQueue<Parcel> parcels = new PriorityQueue<>(BY_ARRIVAL);
+  private final List<Parcel> held = new ArrayList<>();
   private final ImmutableSet<ProcessId> names;
   private Instant now = START;
   private long parcelNumber;
@@ -46,7 +49,12 @@
   int longestDelayMilliseconds = 1;
 
   FakeEntries(int count, long seed) {
+    this(count, seed, ChosenDecisions::new);
+  }
+
+  FakeEntries(int count, long seed, EntryDecisions.Factory factory) {
     this.random = new Random(seed);
+    this.factory = factory;
     ImmutableSet.Builder<ProcessId> all = ImmutableSet.builder();
     for (int number = 1; number <= count; number++) {
       all.add(entry(number));
@@ -84,7 +92,7 @@
             incarnations++,
             Sets.difference(names, ImmutableSet.of(entry)).immutableCopy(),
             ImmutableMap.of());
-    EndpointMembership membership = new EndpointMembership(identity, timings, now);
+    EntryDecisions membership = factory.start(identity, timings, now);
     running.put(entry, membership);
     lastTick.put(entry, Instant.MIN);
     if (asksOnArrival) {
@@ -96,14 +104,24 @@
   /** Ends an entry without a word; what it sent before is still on its way. */
   void kill(ProcessId entry) {
     running.remove(entry);
+    frozen.remove(entry);
+  }
+
+  /** Ends an entry without a word and with it most of what it has not got rid of yet. */
+  void killWithItsWords(ProcessId entry) {
+    kill(entry);
+    parcels.removeIf(parcel -> parcel.from().equals(entry) && random.nextInt(4) > 0);
   }
 
   void freeze(ProcessId entry) {
     frozen.add(entry);
   }
 
+  /** Lets an entry go on; what came meanwhile waits in its connections. */
   void thaw(ProcessId entry) {
     frozen.remove(entry);
+    parcels.addAll(held);
+    held.clear();
   }
 
   /** Cuts both directions between two entries; what is under way is lost. */
@@ -124,10 +142,6 @@
     return membership(entry).view(now);
   }
 
-  int ownEndpoints(ProcessId entry) {
-    return membership(entry).ownEndpoints();
-  }
-
   /** Announces to an entry as over HTTP, with forwarding; empty if nobody answers. */
   Optional<AnnounceReply> announce(ProcessId entry, EndpointAnnouncement announcement) {
     if (!runs(entry)) {
@@ -148,7 +162,7 @@
 
   /** Tells an entry that an endpoint leaves. */
   void leave(ProcessId entry, EndpointRecord endpoint) {
-    membership(entry).leave(endpoint.id(), endpoint.incarnation(), now);
+    membership(entry).leave(endpoint, now);
     post(entry);
   }
 
@@ -173,12 +187,12 @@
     }
   }
 
-  private EndpointMembership membership(ProcessId entry) {
+  private EntryDecisions membership(ProcessId entry) {
     return Optional.ofNullable(running.get(entry)).orElseThrow();
   }
 
   private void post(ProcessId from) {
-    for (OutgoingMessage outgoing : membership(from).takeEffects().messages()) {
+    for (OutgoingMessage outgoing : membership(from).takeMessages()) {
       if (random.nextDouble() >= lossRate) {
         post(from, outgoing);
       }
@@ -194,11 +208,14 @@
   }
 
   private void deliver(Parcel parcel) {
+    if (frozen.contains(parcel.to())) {
+      held.add(parcel);
+      return;
+    }
     if (cuts.contains(new Pair(parcel.from(), parcel.to())) || !runs(parcel.to())) {
       return;
     }
-    membership(parcel.to())
-        .onMessage(parcel.from(), (MembershipMessages.SpreadMessage) parcel.message(), now);
+    membership(parcel.to()).onMessage(parcel.from(), parcel.message(), now);
     post(parcel.to());
   }
 }
