--- a/core/src/main/java/org/verbenawheel/pool/PoolView.java
+++ b/core/src/main/java/org/verbenawheel/pool/PoolView.java
@@ -1,21 +1,37 @@
 package org.verbenawheel.pool;
 
-import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.collect.ImmutableListMultimap.toImmutableListMultimap;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
 import org.verbenawheel.configuration.PoolSettings;
 import org.verbenawheel.identity.HostName;
 import org.verbenawheel.identity.PoolName;
 
-/**
- * The pools and hosts at one moment. Immutable; deciders take it as their input.
- *
- * @param pools the settings of each pool
- * @param hosts each host by name, in the order of names
- */
-public record PoolView(
-    ImmutableMap<PoolName, PoolSettings> pools, ImmutableMap<HostName, HostRecord> hosts) {
+/** The pools and hosts at one moment. Immutable; deciders take it as their input. */
+public final class PoolView {
+  private final ImmutableMap<PoolName, PoolSettings> pools;
+  private final ImmutableMap<HostName, HostRecord> hosts;
+  private final ImmutableListMultimap<PoolName, HostRecord> hostsByPool;
+
+  PoolView(
+      ImmutableMap<PoolName, PoolSettings> pools, ImmutableMap<HostName, HostRecord> hosts) {
+    this.pools = pools;
+    this.hosts = hosts;
+    this.hostsByPool =
+        hosts.values().stream().collect(toImmutableListMultimap(HostRecord::pool, host -> host));
+  }
+
+  /** Returns the settings of each pool. */
+  public ImmutableMap<PoolName, PoolSettings> pools() {
+    return pools;
+  }
+
+  /** Returns each host by name, in the order of names. */
+  public ImmutableMap<HostName, HostRecord> hosts() {
+    return hosts;
+  }
 
   /**
    * Returns the hosts of a pool, in the order of names.
@@ -23,8 +39,6 @@
    * @param pool the pool
    */
   public ImmutableList<HostRecord> hostsOf(PoolName pool) {
-    return hosts.values().stream()
-        .filter(host -> host.pool().equals(pool))
-        .collect(toImmutableList());
+    return hostsByPool.get(pool);
   }
 }
--- a/scenarios/src/main/java/org/verbenawheel/load/CallerClient.java
+++ b/scenarios/src/main/java/org/verbenawheel/load/CallerClient.java
@@ -57,8 +57,7 @@
 
   private static CallerResult resultOf(
       HttpResponse<byte[]> answer, Throwable failure, long sentAtNanoseconds) {
-    long latencyMicroseconds =
-        TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - sentAtNanoseconds);
+    long latencyMicroseconds = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - sentAtNanoseconds);
     if (failure != null || answer == null) {
       String message = failure == null ? "no answer" : failure.toString();
       return new CallerResult(
--- a/scenarios/src/main/java/org/verbenawheel/load/LoadReport.java
+++ b/scenarios/src/main/java/org/verbenawheel/load/LoadReport.java
@@ -29,8 +29,7 @@
    */
   public synchronized void add(LoadRequest request, CallerResult result, boolean right) {
     latency.recordValue(Math.min(HIGHEST_MICROSECONDS, result.latencyMicroseconds()));
-    waiting.recordValue(
-        Math.max(0, result.latencyMicroseconds() - request.workMicroseconds()));
+    waiting.recordValue(Math.max(0, result.latencyMicroseconds() - request.workMicroseconds()));
     outcomes.merge(outcomeOf(result), 1, Integer::sum);
     result.endpoint().ifPresent(endpoint -> endpoints.merge(endpoint, 1, Integer::sum));
     if (!right) {
--- /dev/null
+++ b/scenarios/src/main/java/org/verbenawheel/scenarios/fleet/package-info.java
@@ -0,0 +1,5 @@
+/** Experiments on capacity, maintenance and placement with a clock of their own. */
+@NullMarked
+package org.verbenawheel.scenarios.fleet;
+
+import org.jspecify.annotations.NullMarked;
