--- a/scenarios/src/main/java/org/verbenawheel/scenarios/fleet/FleetTrial.java
+++ b/scenarios/src/main/java/org/verbenawheel/fleet/FleetTrial.java
@@ -1,4 +1,4 @@
-package org.verbenawheel.scenarios.fleet;
+package org.verbenawheel.fleet;
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
--- a/scenarios/src/main/java/org/verbenawheel/scenarios/fleet/MaintenanceExperiment.java
+++ b/scenarios/src/main/java/org/verbenawheel/fleet/MaintenanceExperiment.java
@@ -1,4 +1,4 @@
-package org.verbenawheel.scenarios.fleet;
+package org.verbenawheel.fleet;
 
 import static com.google.common.collect.ImmutableList.toImmutableList;
 
