--- a/core/src/main/java/org/verbenawheel/platform/Resources.java
+++ b/core/src/main/java/org/verbenawheel/pool/Resources.java
@@ -1,4 +1,4 @@
-package org.verbenawheel.platform;
+package org.verbenawheel.pool;
 
 /**
  * Counts what a host offers or a job asks for.
