Grow maintenance waves from a small first one

Cause: the first wave was as wide as the pools allow, so a bad image was on 257 of 4,065 hosts before the halt. Ruled out: a lower significance of the halt; the failures come at the same time, whatever they are compared with.

--- a/core/src/main/java/org/verbenawheel/maintenance/WavePlanner.java
+++ b/core/src/main/java/org/verbenawheel/maintenance/WavePlanner.java
@@ -1,11 +1,11 @@
 package org.verbenawheel.maintenance;
 
 import static com.google.common.collect.ImmutableList.toImmutableList;
-import static com.google.common.collect.ImmutableMap.toImmutableMap;
 import static java.util.Comparator.comparing;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableMultiset;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
@@ -31,9 +31,18 @@
  * Plans maintenance in waves within one availability zone at a time, each pool as wide as {@link
  * WaveWidth} allows, rack after rack. Does no I/O.
  *
+ * <p>The first wave is small and each may take {@value #WAVE_GROWTH} times as many hosts as the
+ * last ones, so that a bad image is found before it is on many hosts.
+ *
  * <p>A host that is off is not taken out: it takes the maintenance with its next power on.
  */
 public final class WavePlanner {
+  /** How many hosts the first wave of a period, or after a halt, takes at most. */
+  public static final int FIRST_WAVE_HOSTS = 4;
+
+  /** How many times as many hosts as its forerunners a wave takes at most. */
+  public static final int WAVE_GROWTH = 4;
+
   private final MaintenanceSettings settings;
   private final WaveWidth width;
   private final FailureCorrelation correlation;
@@ -180,19 +189,13 @@
   /** Goes on in the zone of the last wave, then with the zone that has the most hosts due. */
   private static Stream<AvailabilityZone> zonesInOrder(
       ImmutableList<HostRecord> due, MaintenanceStatus status) {
-    ImmutableMap<AvailabilityZone, Long> counts =
-        due.stream()
-            .map(WavePlanner::zoneOf)
-            .distinct()
-            .collect(
-                toImmutableMap(
-                    zone -> zone,
-                    zone -> due.stream().filter(host -> zoneOf(host).equals(zone)).count()));
+    ImmutableMultiset<AvailabilityZone> counts =
+        due.stream().map(WavePlanner::zoneOf).collect(ImmutableMultiset.toImmutableMultiset());
     Optional<AvailabilityZone> last = status.lastWave().map(MaintenanceWave::availabilityZone);
-    return counts.keySet().stream()
+    return counts.elementSet().stream()
         .sorted(
             comparing((AvailabilityZone zone) -> last.filter(zone::equals).isEmpty())
-                .thenComparing(zone -> -counts.getOrDefault(zone, 0L))
+                .thenComparing(zone -> -counts.count(zone))
                 .thenComparing(zone -> zone));
   }
 
@@ -210,7 +213,8 @@
             .filter(host -> zoneOf(host).equals(zone))
             .sorted(comparing((HostRecord host) -> host.location().rack()))
             .collect(toImmutableList());
-    ImmutableList<HostRecord> chosen = chooseWithin(candidates, room);
+    ImmutableList<HostRecord> chosen =
+        chooseWithin(candidates, room).stream().limit(mostHosts(status)).collect(toImmutableList());
     if (chosen.isEmpty()) {
       return Optional.empty();
     }
@@ -224,6 +228,17 @@
                 status.version())));
   }
 
+  private static long mostHosts(MaintenanceStatus status) {
+    int largest =
+        status.recentWaves().stream()
+            .filter(wave -> !wave.startedAt().isBefore(status.periodStart()))
+            .filter(wave -> !wave.startedAt().isBefore(status.judgedFrom()))
+            .mapToInt(wave -> wave.hosts().size())
+            .max()
+            .orElse(0);
+    return Math.max(FIRST_WAVE_HOSTS, (long) WAVE_GROWTH * largest);
+  }
+
   private static ImmutableList<HostRecord> chooseWithin(
       ImmutableList<HostRecord> candidates, Map<PoolName, Integer> room) {
     Map<PoolName, Integer> left = new HashMap<>(room);
--- a/core/src/test/java/org/verbenawheel/maintenance/WavePlannerTest.java
+++ b/core/src/test/java/org/verbenawheel/maintenance/WavePlannerTest.java
@@ -128,6 +128,8 @@
   void aWaveStaysInOneZoneAndCountsLossesAlreadyThere() {
     lose(0);
     lose(1);
+    StartWave first = (StartWave) nextStep().commands().get(0);
+    assertThat(first.hosts()).hasSize(WavePlanner.FIRST_WAVE_HOSTS);
     StartWave wave = (StartWave) nextStep().commands().get(0);
     assertThat(
             wave.hosts().stream()
