--- a/core/src/main/java/org/verbenawheel/platform/HostUsage.java
+++ b/core/src/main/java/org/verbenawheel/platform/HostUsage.java
@@ -2,7 +2,6 @@
 
 import java.time.Instant;
 import org.verbenawheel.identity.HostName;
-import org.verbenawheel.pool.Resources;
 
 /**
  * What the platform measured at one host.
--- a/core/src/main/java/org/verbenawheel/pool/Resources.java
+++ b/core/src/main/java/org/verbenawheel/platform/Resources.java
@@ -1,4 +1,4 @@
-package org.verbenawheel.pool;
+package org.verbenawheel.platform;
 
 /**
  * Counts what a host offers or a job asks for.
--- a/core/src/main/java/org/verbenawheel/pool/HostRecord.java
+++ b/core/src/main/java/org/verbenawheel/pool/HostRecord.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.verbenawheel.identity.HostName;
 import org.verbenawheel.identity.PoolName;
+import org.verbenawheel.platform.Resources;
 
 /**
  * Everything the replicated state knows of one host. Its pool is a single field, so that a host is
--- a/core/src/main/java/org/verbenawheel/pool/PoolCommand.java
+++ b/core/src/main/java/org/verbenawheel/pool/PoolCommand.java
@@ -4,6 +4,7 @@
 import org.verbenawheel.configuration.PoolSettings;
 import org.verbenawheel.identity.HostName;
 import org.verbenawheel.identity.PoolName;
+import org.verbenawheel.platform.Resources;
 import org.verbenawheel.replication.ControlCommand;
 
 /** Marks the commands that {@link PoolState} applies. */
--- a/core/src/test/java/org/verbenawheel/pool/ActivityControllerTest.java
+++ b/core/src/test/java/org/verbenawheel/pool/ActivityControllerTest.java
@@ -32,6 +32,7 @@
 import org.verbenawheel.platform.OperationReport;
 import org.verbenawheel.platform.Platform;
 import org.verbenawheel.platform.PlatformException;
+import org.verbenawheel.platform.Resources;
 import org.verbenawheel.platform.UsageBoard;
 import org.verbenawheel.platform.UsageReport;
 import org.verbenawheel.replication.CommandEnvelope;
--- a/core/src/test/java/org/verbenawheel/pool/Fleet.java
+++ b/core/src/test/java/org/verbenawheel/pool/Fleet.java
@@ -8,6 +8,7 @@
 import org.verbenawheel.identity.PoolName;
 import org.verbenawheel.identity.Rack;
 import org.verbenawheel.identity.Region;
+import org.verbenawheel.platform.Resources;
 import org.verbenawheel.pool.PoolCommand.DefinePool;
 import org.verbenawheel.pool.PoolCommand.RegisterHost;
 import org.verbenawheel.pool.PoolCommand.StartActivity;
--- a/scenarios/src/main/java/org/verbenawheel/fleet/FleetTrial.java
+++ b/scenarios/src/main/java/org/verbenawheel/fleet/FleetTrial.java
@@ -11,7 +11,7 @@
 import org.verbenawheel.identity.Rack;
 import org.verbenawheel.identity.Region;
 import org.verbenawheel.maintenance.MaintenanceState;
-import org.verbenawheel.pool.Resources;
+import org.verbenawheel.platform.Resources;
 import org.verbenawheel.pool.Activity;
 import org.verbenawheel.pool.FleetDecider;
 import org.verbenawheel.pool.HostCondition;
