Start the next wave when half of the last has settled

Cause: each wave waited for its slowest drain; one drain in ten takes 10 minutes, so nearly every wave did. Ruled out: starting hosts one by one as others return, which would leave no wave to compare failures in.

--- a/core/src/main/java/org/verbenawheel/maintenance/WavePlanner.java
+++ b/core/src/main/java/org/verbenawheel/maintenance/WavePlanner.java
@@ -143,11 +143,16 @@
         && host.maintainedAt().filter(at -> !at.isBefore(status.periodStart())).isEmpty();
   }
 
+  /** A wave counts as in progress until half of its hosts have settled: the rest are stragglers. */
   private boolean isInProgress(MaintenanceStatus status, PoolView view, Instant now) {
-    return status.lastWave().stream()
-        .flatMap(wave -> wave.hosts().stream())
-        .flatMap(host -> Stream.ofNullable(view.hosts().get(host)))
-        .anyMatch(host -> isMaintained(host) || isSettling(host, now));
+    ImmutableList<HostRecord> hosts =
+        status.lastWave().stream()
+            .flatMap(wave -> wave.hosts().stream())
+            .flatMap(host -> Stream.ofNullable(view.hosts().get(host)))
+            .collect(toImmutableList());
+    long unsettled =
+        hosts.stream().filter(host -> isMaintained(host) || isSettling(host, now)).count();
+    return unsettled * 2 > hosts.size();
   }
 
   private static boolean isMaintained(HostRecord host) {
--- a/core/src/main/java/org/verbenawheel/pool/PoolView.java
+++ b/core/src/main/java/org/verbenawheel/pool/PoolView.java
@@ -15,8 +15,7 @@
   private final ImmutableMap<HostName, HostRecord> hosts;
   private final ImmutableListMultimap<PoolName, HostRecord> hostsByPool;
 
-  PoolView(
-      ImmutableMap<PoolName, PoolSettings> pools, ImmutableMap<HostName, HostRecord> hosts) {
+  PoolView(ImmutableMap<PoolName, PoolSettings> pools, ImmutableMap<HostName, HostRecord> hosts) {
     this.pools = pools;
     this.hosts = hosts;
     this.hostsByPool =
--- a/core/src/test/java/org/verbenawheel/maintenance/WavePlannerTest.java
+++ b/core/src/test/java/org/verbenawheel/maintenance/WavePlannerTest.java
@@ -26,11 +26,13 @@
 import org.verbenawheel.peer.MessageKinds;
 import org.verbenawheel.platform.FakePlatform;
 import org.verbenawheel.platform.UsageBoard;
+import org.verbenawheel.pool.Activity;
 import org.verbenawheel.pool.ActivityController;
 import org.verbenawheel.pool.FakeCommandLog;
 import org.verbenawheel.pool.Fleet;
 import org.verbenawheel.pool.HostCondition;
 import org.verbenawheel.pool.HostRecord;
+import org.verbenawheel.pool.PoolCommand.AdvanceActivity;
 import org.verbenawheel.pool.PoolCommand.RegisterHost;
 import org.verbenawheel.pool.PoolCommand.ReportCondition;
 import org.verbenawheel.pool.PoolCommands;
@@ -143,6 +145,26 @@
         .hasSize(3);
   }
 
+  @Test
+  void doesNotWaitForAStragglerThatDrainsForLong() {
+    nextStep().commands().forEach(log::commit);
+    ImmutableList<HostName> hosts = maintenance.status().lastWave().orElseThrow().hosts();
+    nextStep().commands().forEach(log::commit);
+    hosts.forEach(this::completePhase);
+    ImmutableList<HostName> usual = hosts.subList(1, hosts.size());
+    usual.forEach(this::completePhase);
+    usual.forEach(this::completePhase);
+    assertThat(nextStep().commands()).isEmpty();
+    log.advance(MaintenanceSettings.DEFAULT.settleTime());
+    assertThat(nextStep().outcome()).isEqualTo("start wave");
+  }
+
+  private void completePhase(HostName host) {
+    HostRecord record = record(host);
+    Activity activity = record.activity().orElseThrow();
+    log.commit(new AdvanceActivity(host, activity.id(), activity.phase(), record.version()));
+  }
+
   @Test
   void takesNothingOutWithoutRoomOrBudgetAndSaysWhy() {
     budgetLeft = 0;
