--- a/command/src/test/java/org/verbenawheel/command/FakeControl.java
+++ b/command/src/test/java/org/verbenawheel/command/FakeControl.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.net.InetAddresses;
 import com.sun.net.httpserver.HttpExchange;
@@ -24,6 +25,8 @@
 import org.verbenawheel.identity.AvailabilityZone;
 import org.verbenawheel.identity.CommandId;
 import org.verbenawheel.identity.ProcessId;
+import org.verbenawheel.maintenance.MaintenanceState;
+import org.verbenawheel.operator.MaintenanceReport;
 import org.verbenawheel.operator.OperatorCommand;
 import org.verbenawheel.operator.OperatorReply;
 import org.verbenawheel.operator.PoolReport;
@@ -31,8 +34,14 @@
 import org.verbenawheel.pool.PoolCommand;
 import org.verbenawheel.pool.PoolState;
 import org.verbenawheel.replication.ApplyContext;
+import org.verbenawheel.replication.ClusterId;
+import org.verbenawheel.replication.ClusterMembers;
 import org.verbenawheel.replication.CommandEnvelope;
 import org.verbenawheel.replication.CommandReply;
+import org.verbenawheel.replication.Member;
+import org.verbenawheel.replication.ReplicaId;
+import org.verbenawheel.replication.ReplicaStatus;
+import org.verbenawheel.replication.Role;
 
 /** Serves the operators' API over states in memory, and keeps the reply of each command. */
 final class FakeControl implements AutoCloseable {
@@ -41,6 +50,7 @@
   private final HttpServer server;
   private final ConfigurationState configuration = new ConfigurationState();
   private final PoolState pools = new PoolState();
+  private final MaintenanceState maintenance = new MaintenanceState();
   private final Map<CommandId, CommandReply> replies = new HashMap<>();
   private long index;
 
@@ -91,6 +101,10 @@
           case "GET /v1/configuration/history" -> configuration.history().changes();
           case "GET /v1/pools" -> PoolReport.of(pools.view());
           case "GET /v1/hosts" -> pools.view().hosts().values();
+          case "GET /v1/maintenance" ->
+              new MaintenanceReport(
+                  maintenance.status(), "nothing", "no host is due", ImmutableList.of());
+          case "GET /v1/replicas" -> replicas();
           case "GET /v1/dump" -> ImmutableMap.of("configuration", configuration.dump());
           default -> Optional.empty();
         };
@@ -132,6 +146,9 @@
   private CommandReply applyOnce(CommandEnvelope envelope) {
     index++;
     ApplyContext context = new ApplyContext(index, Instant.EPOCH.plusSeconds(index));
+    if (maintenance.commandKinds().contains(envelope.command().getClass())) {
+      return maintenance.apply(envelope.command(), context);
+    }
     if (!configuration.commandKinds().contains(envelope.command().getClass())) {
       return pools.apply(envelope.command(), context);
     }
@@ -155,6 +172,23 @@
         true);
   }
 
+  private static ReplicaStatus replicas() {
+    ProcessId process = new ProcessId("control-1");
+    Member member = new Member(process, new ReplicaId("replica-a"));
+    return new ReplicaStatus(
+        process,
+        member.replica(),
+        Role.LEADER,
+        1,
+        Optional.of(process),
+        Optional.empty(),
+        1,
+        1,
+        1,
+        0,
+        Optional.of(ClusterMembers.founding(new ClusterId("cluster-a"), ImmutableList.of(member))));
+  }
+
   private static void respondError(HttpExchange exchange, int status, String error)
       throws IOException {
     respond(exchange, status, error(error, "mend it"));
