Serve every path below a service and treat every status as an answer

Cause: the path pattern was greedy and took one letter for the service; the HTTP client throws some error statuses although told not to, so a 404 of the system reached a caller of the load tool as no answer. Before: GET /service/hobart-desk/quotes got 404 'no service h'. Conclusion: the raw path is passed on as the caller wrote it.

--- a/daemon/src/main/java/org/verbenawheel/entry/CallerController.java
+++ b/daemon/src/main/java/org/verbenawheel/entry/CallerController.java
@@ -24,11 +24,12 @@
 import reactor.core.publisher.Mono;
 
 /** Takes callers' requests to {@code /service/<name>/<path>} with any method and body. */
-@Controller("/service/{service}")
+@Controller("/service")
 @Consumes(MediaType.ALL)
 @Requires(bean = CallerService.class)
 public final class CallerController {
-  private static final String PATH = "{/path:.*}";
+  private static final String ROOT = "/{service}";
+  private static final String BELOW = "/{service}/{+path}";
 
   private final CallerService callers;
   private final CallerRequests requests;
@@ -41,59 +42,45 @@
   }
 
   /** Serves a GET request. */
-  @Get(PATH)
-  public Publisher<HttpResponse<?>> get(
-      HttpRequest<?> request, @PathVariable String service, @Nullable String path) {
-    return serve(request, service, path, null);
+  @Get(uris = {ROOT, BELOW})
+  public Publisher<HttpResponse<?>> get(HttpRequest<?> request, @PathVariable String service) {
+    return serve(request, service, null);
   }
 
   /** Serves a POST request. */
-  @Post(PATH)
+  @Post(uris = {ROOT, BELOW})
   public Publisher<HttpResponse<?>> post(
-      HttpRequest<?> request,
-      @PathVariable String service,
-      @Nullable String path,
-      @Body byte @Nullable [] body) {
-    return serve(request, service, path, body);
+      HttpRequest<?> request, @PathVariable String service, @Body byte @Nullable [] body) {
+    return serve(request, service, body);
   }
 
   /** Serves a PUT request. */
-  @Put(PATH)
+  @Put(uris = {ROOT, BELOW})
   public Publisher<HttpResponse<?>> put(
-      HttpRequest<?> request,
-      @PathVariable String service,
-      @Nullable String path,
-      @Body byte @Nullable [] body) {
-    return serve(request, service, path, body);
+      HttpRequest<?> request, @PathVariable String service, @Body byte @Nullable [] body) {
+    return serve(request, service, body);
   }
 
   /** Serves a PATCH request. */
-  @Patch(PATH)
+  @Patch(uris = {ROOT, BELOW})
   public Publisher<HttpResponse<?>> patch(
-      HttpRequest<?> request,
-      @PathVariable String service,
-      @Nullable String path,
-      @Body byte @Nullable [] body) {
-    return serve(request, service, path, body);
+      HttpRequest<?> request, @PathVariable String service, @Body byte @Nullable [] body) {
+    return serve(request, service, body);
   }
 
   /** Serves a DELETE request. */
-  @Delete(PATH)
+  @Delete(uris = {ROOT, BELOW})
   public Publisher<HttpResponse<?>> delete(
-      HttpRequest<?> request,
-      @PathVariable String service,
-      @Nullable String path,
-      @Body byte @Nullable [] body) {
-    return serve(request, service, path, body);
+      HttpRequest<?> request, @PathVariable String service, @Body byte @Nullable [] body) {
+    return serve(request, service, body);
   }
 
   private Publisher<HttpResponse<?>> serve(
-      HttpRequest<?> http, String service, @Nullable String path, byte @Nullable [] body) {
+      HttpRequest<?> http, String service, byte @Nullable [] body) {
     RequestId id = requests.nextId();
     try {
       CallerRequest request =
-          requests.translate(
-              id, http, service, path, body, callers.configuration(), clock.instant());
+          requests.translate(id, http, service, body, callers.configuration(), clock.instant());
       return Mono.fromFuture(() -> callers.serve(request), true)
           .doOnCancel(() -> callers.cancel(id))
           .map(outcome -> CallerResponses.of(id, outcome));
--- a/daemon/src/main/java/org/verbenawheel/entry/CallerRequests.java
+++ b/daemon/src/main/java/org/verbenawheel/entry/CallerRequests.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableSet;
 import io.micronaut.http.HttpRequest;
+import java.net.URI;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -21,6 +22,7 @@
 final class CallerRequests {
   private static final ImmutableSet<String> METHODS_NEEDING_A_KEY =
       ImmutableSet.of("POST", "PATCH");
+  private static final String PREFIX = "/service/";
   private static final Duration LONGEST_DEADLINE = Duration.ofHours(12);
   private static final Duration DEADLINE_OF_UNKNOWN_SERVICE = Duration.ofSeconds(5);
 
@@ -48,7 +50,6 @@
    * @param id the id of the request
    * @param http the request
    * @param service the service in the path
-   * @param path the path at the endpoint, without the slash before it
    * @param body the body, or null if there is none
    * @param configuration gives the deadline of a request that names none
    * @param now the present moment
@@ -58,7 +59,6 @@
       RequestId id,
       HttpRequest<?> http,
       String service,
-      @Nullable String path,
       byte @Nullable [] body,
       Configuration configuration,
       Instant now)
@@ -70,7 +70,7 @@
         id,
         serviceName,
         http.getMethodName(),
-        pathAndQuery(http, path),
+        pathAndQuery(http, service),
         HttpNames.passedOn(http.getHeaders()),
         body == null ? Body.EMPTY : Body.copyOf(body),
         key,
@@ -86,10 +86,12 @@
     }
   }
 
-  private static String pathAndQuery(HttpRequest<?> http, @Nullable String path) {
-    String query = http.getUri().getRawQuery();
-    String rawPath = "/" + (path == null ? "" : path);
-    return query == null ? rawPath : rawPath + "?" + query;
+  /** Returns what follows the service in the path, as the caller wrote it, with the query. */
+  private static String pathAndQuery(HttpRequest<?> http, String service) {
+    URI uri = http.getUri();
+    String below = uri.getRawPath().substring(PREFIX.length() + service.length());
+    String path = below.isEmpty() ? "/" : below;
+    return uri.getRawQuery() == null ? path : path + "?" + uri.getRawQuery();
   }
 
   private static Optional<IdempotencyKey> idempotencyKey(HttpRequest<?> http)
--- a/daemon/src/main/java/org/verbenawheel/entry/EndpointConnections.java
+++ b/daemon/src/main/java/org/verbenawheel/entry/EndpointConnections.java
@@ -1,16 +1,14 @@
 package org.verbenawheel.entry;
 
-import io.micronaut.core.type.Argument;
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpResponse;
-import io.micronaut.http.HttpStatus;
 import io.micronaut.http.client.HttpClient;
-import io.micronaut.http.client.exceptions.HttpClientResponseException;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.verbenawheel.daemon.HttpAnswers;
 import org.verbenawheel.membership.EndpointRecord;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
@@ -25,7 +23,6 @@
  */
 final class EndpointConnections {
   private static final Duration TRIAL_TIMEOUT = Duration.ofSeconds(1);
-  private static final Argument<byte[]> BYTES = Argument.of(byte[].class);
   private static final String TRIAL_PATH = "/health/ready";
 
   private final EndpointRecord endpoint;
@@ -84,20 +81,11 @@
 
   private Mono<HttpResponse<byte[]>> exchangeOver(
       Generation generation, HttpRequest<byte[]> request) {
-    return Mono.from(generation.client.exchange(request, BYTES, BYTES))
-        .onErrorResume(HttpClientResponseException.class, EndpointConnections::errorAnswer)
+    return HttpAnswers.exchange(generation.client, request)
         .doOnNext(answer -> answered(generation))
         .doFinally(signal -> giveBack(generation));
   }
 
-  /** Returns an answer whose status is an error of the service's own as an answer. */
-  @SuppressWarnings("unchecked") // The error type of the exchange is BYTES.
-  private static Mono<HttpResponse<byte[]>> errorAnswer(HttpClientResponseException thrown) {
-    return thrown.code() >= HttpStatus.BAD_REQUEST.getCode()
-        ? Mono.just((HttpResponse<byte[]>) thrown.getResponse())
-        : Mono.error(thrown);
-  }
-
   private synchronized Generation take() {
     current.inFlight++;
     return current;
--- a/scenarios/src/main/java/org/verbenawheel/fleet/MaintenanceExperiment.java
+++ b/scenarios/src/main/java/org/verbenawheel/fleet/MaintenanceExperiment.java
@@ -6,7 +6,6 @@
 import com.google.common.collect.ImmutableMap;
 import java.io.PrintStream;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Random;
@@ -102,7 +101,7 @@
     Size letter = new Size("letter", 143, 24, 33, 9);
     for (Size size : ImmutableList.of(brief, letter)) {
       for (Way way : Way.values()) {
-        if (size == brief || way != Way.ONE_AT_A_TIME) {
+        if (size.equals(brief) || way != Way.ONE_AT_A_TIME) {
           print(out, size, way, false);
           print(out, size, way, true);
         }
@@ -172,10 +171,10 @@
           moment -> needs,
           new DecisionJournal(1));
     }
-    return (view, moment) -> naive(way, view, moment);
+    return (view, moment) -> naive(way, view);
   }
 
-  private static ImmutableList<ControlCommand> naive(Way way, PoolView view, Instant moment) {
+  private static ImmutableList<ControlCommand> naive(Way way, PoolView view) {
     ImmutableList<HostRecord> due =
         view.hosts().values().stream()
             .filter(host -> host.activity().isEmpty() && host.maintainedAt().isEmpty())
--- a/scenarios/src/main/java/org/verbenawheel/load/CallerClient.java
+++ b/scenarios/src/main/java/org/verbenawheel/load/CallerClient.java
@@ -14,10 +14,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.verbenawheel.daemon.HttpAnswers;
 import org.verbenawheel.request.Body;
 import org.verbenawheel.request.IdempotencyKey;
 import org.verbenawheel.request.RunVerdict;
-import reactor.core.publisher.Mono;
 
 /** A caller of one entry, or of one endpoint directly, over HTTP. Never sends anything twice. */
 public final class CallerClient implements AutoCloseable {
@@ -45,7 +45,7 @@
    */
   public CompletableFuture<CallerResult> send(LoadRequest request, Duration timeout) {
     long sentAtNanoseconds = System.nanoTime();
-    return Mono.from(client.exchange(toHttp(request), byte[].class))
+    return HttpAnswers.exchange(client, toHttp(request))
         .timeout(timeout)
         .toFuture()
         .handle((answer, failure) -> resultOf(answer, failure, sentAtNanoseconds));
