Hand endpoints on from an entry that hears of no majority

Change: such an entry sends every second renewal to another entry, which takes the endpoint over; the lease here goes on, so that entries whose peers are dead keep their endpoints (lastEntriesAliveKeepTheEndpoints). Ruled out: refusing renewals without a majority (two survivors of seven would lose all endpoints); relaying another's vouching through third entries (more state in each heartbeat, and no help when an entry is cut from all).

--- a/core/src/main/java/org/verbenawheel/membership/AnnounceReply.java
+++ b/core/src/main/java/org/verbenawheel/membership/AnnounceReply.java
@@ -10,7 +10,7 @@
  * through the balancer with the same token.
  *
  * @param status what became of the announcement
- * @param home the entry that renewals should go to
+ * @param home the entry that the next renewal should go to
  * @param homeAddress the address of that entry for announcements, if the settings give it
  * @param token to give back with the next announcement
  * @param leaseMilliseconds how long the endpoint stays without a renewal; zero if not granted
--- a/core/src/main/java/org/verbenawheel/membership/LeaseDesk.java
+++ b/core/src/main/java/org/verbenawheel/membership/LeaseDesk.java
@@ -17,6 +17,9 @@
   /** A home entry that was silent for this many heartbeats gets no renewals passed on. */
   private static final int RESPONSIVE_HEARTBEATS = 4;
 
+  /** An entry that hears of no majority sends every renewal of this number to another entry. */
+  private static final int RENEWALS_PER_HAND_ON = 2;
+
   private static final Duration SHORTEST_LEASE = Duration.ofMillis(300);
   private static final Duration FULL_WAIT = Duration.ofSeconds(1);
 
@@ -86,17 +89,38 @@
       return refusal(AnnounceStatus.FULL, FULL_WAIT);
     }
     own.grant(announcement, end);
-    return granted(lease, Duration.between(now, end), now);
+    ProcessId next = homeForNextRenewal(endpoint.id(), now);
+    return granted(next, lease, Duration.between(now, end), now);
+  }
+
+  /**
+   * Returns this entry, or another if this one hears of no majority: it is then probably cut off,
+   * and the endpoint would drop out of the others' views while it is well. The lease here goes on,
+   * and only every second renewal is sent away, in case the others are dead instead.
+   */
+  private ProcessId homeForNextRenewal(EndpointId id, Instant now) {
+    int renewals = own.renewals(id);
+    if (hearsMajority(now) || renewals % RENEWALS_PER_HAND_ON != 0) {
+      return identity.self();
+    }
+    int turn = renewals / RENEWALS_PER_HAND_ON;
+    return identity.others().asList().get(turn % identity.others().size());
+  }
+
+  private boolean hearsMajority(Instant now) {
+    long heard = 1 + identity.others().stream().filter(other -> isResponsive(other, now)).count();
+    int all = 1 + identity.others().size();
+    return all <= 2 || 2 * heard > all;
   }
 
-  private AnnounceReply granted(Duration lease, Duration remaining, Instant now) {
+  private AnnounceReply granted(ProcessId home, Duration lease, Duration remaining, Instant now) {
     Duration interval = MembershipTimings.renewalInterval(lease);
     Duration half = remaining.dividedBy(2);
     Duration wait = half.compareTo(interval) < 0 ? half : interval;
     return new AnnounceReply(
         AnnounceStatus.GRANTED,
-        identity.self(),
-        addressOf(identity.self()),
+        home,
+        addressOf(home),
         Optional.of(tokenOf(now)),
         lease.toMillis(),
         wait.toMillis());
--- a/core/src/main/java/org/verbenawheel/membership/OwnSection.java
+++ b/core/src/main/java/org/verbenawheel/membership/OwnSection.java
@@ -22,7 +22,7 @@
   private Instant earliestEnd = Instant.MAX;
 
   /** What only the home entry knows of an endpoint. */
-  private record Lease(Instant end, long lastSequence) {}
+  private record Lease(Instant end, long lastSequence, int renewals) {}
 
   SectionContents contents() {
     return contents;
@@ -37,13 +37,13 @@
     return earliestEnd;
   }
 
-  /** Returns the sequence of the newest announcement of an endpoint that is held here. */
-  Optional<Long> lastSequence(EndpointId id) {
-    return Optional.ofNullable(leases.get(id)).map(Lease::lastSequence);
+  /** Returns how often the lease of an endpoint was granted or extended here. */
+  int renewals(EndpointId id) {
+    return Optional.ofNullable(leases.get(id)).map(Lease::renewals).orElse(0);
   }
 
-  /** Grants or extends a lease; returns whether the endpoint is new here. */
-  boolean grant(EndpointAnnouncement announcement, Instant end) {
+  /** Grants or extends a lease. */
+  void grant(EndpointAnnouncement announcement, Instant end) {
     EndpointRecord endpoint = announcement.endpoint();
     Optional<HeldEndpoint> held = contents.find(endpoint.id());
     Optional<Lease> lease = Optional.ofNullable(leases.get(endpoint.id()));
@@ -54,13 +54,13 @@
             && lease.filter(old -> old.lastSequence() >= announcement.sequence()).isPresent();
     Instant extended = lease.map(Lease::end).filter(old -> old.isAfter(end)).orElse(end);
     long newest = late ? lease.orElseThrow().lastSequence() : announcement.sequence();
-    leases.put(endpoint.id(), new Lease(extended, newest));
+    int renewals = lease.map(Lease::renewals).orElse(0) + 1;
+    leases.put(endpoint.id(), new Lease(extended, newest, renewals));
     earliestEnd = earliestEnd.isBefore(extended) ? earliestEnd : extended;
     if (!sameIncarnation || (!late && !held.orElseThrow().endpoint().equals(endpoint))) {
       contents.put(new HeldEndpoint(endpoint, announcement.sequence()));
       changed(endpoint.id());
     }
-    return !sameIncarnation;
   }
 
   /** Drops an endpoint; returns whether it was held. */
--- a/core/src/test/java/org/verbenawheel/membership/LeaveBoundTest.java
+++ b/core/src/test/java/org/verbenawheel/membership/LeaveBoundTest.java
@@ -78,7 +78,8 @@
       ProcessId told = anyEntry();
       breakThings(told);
       EndpointAnnouncement stuck = leaving.nextAnnouncement();
-      ProcessId stuckAt = random.nextBoolean() ? anyEntry() : leaving.home().orElseGet(this::anyEntry);
+      ProcessId stuckAt =
+          random.nextBoolean() ? anyEntry() : leaving.home().orElseGet(this::anyEntry);
       leaving.silence();
       entries.leave(told, leaving.endpoint());
       entries.killWithItsWords(told);
