--- a/daemon/src/main/java/org/verbenawheel/entry/EntryProcess.java
+++ b/daemon/src/main/java/org/verbenawheel/entry/EntryProcess.java
@@ -44,6 +44,9 @@
  * the system on the other.
  */
 final class EntryProcess implements CallerService, DaemonState {
+  /** How long the balancer may take to notice that an entry is not ready. */
+  private static final Duration BALANCER_NOTICE = Duration.ofSeconds(2);
+
   private static final Duration CLAIM_TIMEOUT = Duration.ofSeconds(2);
   private static final Duration RETRY_AFTER_DRAIN = Duration.ofSeconds(1);
   private static final int CONNECTIONS_PER_ENDPOINT = 64;
@@ -60,6 +63,7 @@
   private final DispatchNode dispatch;
   private final RequestPath requestPath;
   private final Supervisor root;
+  private volatile boolean leaving;
   private volatile boolean draining;
 
   EntryProcess(EntrySettings settings, InstantSource clock) throws PartFailedException {
@@ -98,12 +102,14 @@
   }
 
   /**
-   * Takes no new request, tells the balancer, the endpoints and the other entries, and returns when
-   * no request is in flight or the drain timeout has passed.
+   * Says that it is not ready, serves on until the balancer has noticed, then takes no new request
+   * and returns when none is in flight or the drain timeout has passed.
    */
   void drain() {
-    draining = true;
+    leaving = true;
     membership.beginDrain();
+    Uninterruptibles.sleepUninterruptibly(BALANCER_NOTICE);
+    draining = true;
     try {
       Uninterruptibles.getUninterruptibly(
           requestPath.drain(), Duration.ofMillis(settings.drainTimeoutMilliseconds()));
@@ -139,7 +145,7 @@
 
   @Override
   public boolean ready() {
-    return !draining && configuration.inForce(clock.instant()).isPresent();
+    return !leaving && configuration.inForce(clock.instant()).isPresent();
   }
 
   @Override
--- a/scenarios/src/main/java/org/verbenawheel/fake/AnnouncingEndpoint.java
+++ b/scenarios/src/main/java/org/verbenawheel/fake/AnnouncingEndpoint.java
@@ -36,9 +36,9 @@
   private final ScheduledExecutorService renewals =
       Executors.newSingleThreadScheduledExecutor(AnnouncingEndpoint::daemonThread);
   private final AtomicLong sequence = new AtomicLong();
-  private Optional<String> home = Optional.empty();
+  private volatile Optional<String> home = Optional.empty();
   private Optional<LeaseToken> token = Optional.empty();
-  private int nextEntry;
+  private volatile int nextEntry;
   private volatile boolean granted;
 
   /**
@@ -65,14 +65,15 @@
   /**
    * Says that the endpoint leaves, and stops announcing.
    *
-   * @return whether an entry took the word
+   * @return the address of the entry that was told; it may not have answered
    */
-  public boolean leave() {
+  public String leave() {
     renewals.shutdownNow();
     String departure =
         "{\"endpoint\":\"" + endpoint.id() + "\",\"incarnation\":" + endpoint.incarnation() + "}";
     String target = home.orElse(entries.get(nextEntry));
-    return post(target, "/membership/departures", departure).isPresent();
+    Optional<byte[]> unused = post(target, "/membership/departures", departure);
+    return target;
   }
 
   /** Stops announcing without a word, as an endpoint does that dies. */
--- a/scenarios/src/main/java/org/verbenawheel/fake/FakeEndpoint.java
+++ b/scenarios/src/main/java/org/verbenawheel/fake/FakeEndpoint.java
@@ -25,12 +25,14 @@
  */
 public final class FakeEndpoint implements AutoCloseable {
   private static final int NO_CONTENT_LENGTH = -1;
+  private static final int BYTES_CUT_OFF = 100;
 
   private final String name;
   private final HttpServer server;
   private final ExecutorService workers = Executors.newCachedThreadPool();
   private final AtomicInteger running = new AtomicInteger();
   private final AtomicInteger mostRunning = new AtomicInteger();
+  private final AtomicLong started = new AtomicLong();
   private final AtomicLong served = new AtomicLong();
   private final Map<String, Integer> runsByKey = new ConcurrentHashMap<>();
   private volatile FakeBehaviour behaviour = FakeBehaviour.HEALTHY;
@@ -61,6 +63,11 @@
     behaviour = newBehaviour;
   }
 
+  /** Returns how many requests it began to run. */
+  public long started() {
+    return started.get();
+  }
+
   /** Returns how many requests it ran to their end. */
   public long served() {
     return served.get();
@@ -111,6 +118,7 @@
   }
 
   private void run(HttpExchange exchange, byte[] body) throws IOException {
+    started.incrementAndGet();
     int now = running.incrementAndGet();
     mostRunning.accumulateAndGet(now, Math::max);
     countKey(exchange);
@@ -123,7 +131,15 @@
       running.decrementAndGet();
       served.incrementAndGet();
     }
-    respond(exchange, Integer.parseInt(query.getOrDefault("status", "200")), echo(body));
+    byte[] answer = echo(body);
+    if (behaviour == FakeBehaviour.CUTS_ANSWERS_SHORT) {
+      exchange.sendResponseHeaders(200, answer.length + BYTES_CUT_OFF);
+      exchange.getResponseBody().write(answer);
+      exchange.getResponseBody().flush();
+      exchange.close();
+      return;
+    }
+    respond(exchange, Integer.parseInt(query.getOrDefault("status", "200")), answer);
   }
 
   private void countKey(HttpExchange exchange) {
--- a/scenarios/src/main/java/org/verbenawheel/fake/FakeFleet.java
+++ b/scenarios/src/main/java/org/verbenawheel/fake/FakeFleet.java
@@ -63,6 +63,26 @@
     return ImmutableList.copyOf(endpoints);
   }
 
+  /**
+   * Ends an endpoint without a word: no connection to it succeeds from now on.
+   *
+   * @param number the endpoint, from 1 in the order of adding
+   */
+  public void kill(int number) {
+    announcers.get(number - 1).close();
+    endpoints.get(number - 1).close();
+  }
+
+  /**
+   * Lets an endpoint say that it leaves; it goes on answering what it is sent.
+   *
+   * @param number the endpoint, from 1 in the order of adding
+   * @return the address of the entry that took the word
+   */
+  public String leave(int number) {
+    return announcers.get(number - 1).leave();
+  }
+
   /** Returns whether every endpoint holds a lease. */
   public boolean allGranted() {
     return announcers.stream().allMatch(AnnouncingEndpoint::granted);
--- a/scenarios/src/main/java/org/verbenawheel/load/CallerClient.java
+++ b/scenarios/src/main/java/org/verbenawheel/load/CallerClient.java
@@ -65,6 +65,7 @@
           CallerResult.NO_STATUS,
           Optional.empty(),
           Optional.empty(),
+          Optional.empty(),
           Body.EMPTY,
           message,
           latencyMicroseconds);
@@ -73,6 +74,7 @@
         answer.code(),
         Optional.ofNullable(answer.getHeaders().get(RunVerdict.HEADER)),
         Optional.ofNullable(answer.getHeaders().get("Verbenawheel-Endpoint")),
+        Optional.ofNullable(answer.getHeaders().get("Retry-After")),
         answer.getBody().map(Body::copyOf).orElse(Body.EMPTY),
         "",
         latencyMicroseconds);
--- a/scenarios/src/main/java/org/verbenawheel/load/CallerResult.java
+++ b/scenarios/src/main/java/org/verbenawheel/load/CallerResult.java
@@ -9,6 +9,7 @@
  * @param status the HTTP status; {@link #NO_STATUS} if no answer came
  * @param verdict the verdict that the answer carried
  * @param endpoint the endpoint that ran the request
+ * @param retryAfterSeconds when a refusal says to ask again
  * @param body the body of the answer
  * @param failure what went wrong if no answer came
  * @param latencyMicroseconds the time from sending to the whole answer
@@ -17,6 +18,7 @@
     int status,
     Optional<String> verdict,
     Optional<String> endpoint,
+    Optional<String> retryAfterSeconds,
     Body body,
     String failure,
     long latencyMicroseconds) {
--- a/scenarios/src/main/java/org/verbenawheel/load/LoadRequest.java
+++ b/scenarios/src/main/java/org/verbenawheel/load/LoadRequest.java
@@ -57,4 +57,13 @@
         Optional.empty(),
         workMilliseconds * 1_000);
   }
+
+  /**
+   * Returns this request with a deadline.
+   *
+   * @param time how long an answer is worth something
+   */
+  public LoadRequest withDeadline(Duration time) {
+    return new LoadRequest(method, path, body, key, Optional.of(time), workMicroseconds);
+  }
 }
