--- a/core/src/main/java/org/verbenawheel/replication/Election.java
+++ b/core/src/main/java/org/verbenawheel/replication/Election.java
@@ -43,7 +43,7 @@
     core.take(Role.CANDIDATE, Optional.empty());
     core.postponeElection(now);
     grants.clear();
-    core.changeHardState(new HardState(core.term() + 1, Optional.of(core.self().replica())));
+    core.voteFor(core.term() + 1, core.self().replica());
     ownVoteSequence = core.durability().lastIssued();
     for (Member voter : core.otherVoters()) {
       Effect.Send request = core.sendTo(voter, voteRequest(voter, core.term(), false, transfer));
@@ -77,7 +77,9 @@
   /** Answers a pre-vote. */
   void onPreVote(Member from, VoteRequest request, boolean mayBeLed) {
     boolean granted = request.header().term() > core.term() && !mayBeLed && isUpToDate(request);
-    Header header = core.headerTo(from, granted ? request.header().term() : core.term());
+    long term = granted ? request.header().term() : core.term();
+    Header header =
+        new Header(request.header().cluster(), core.self().replica(), from.replica(), term);
     Effect.Send reply = core.sendTo(from, new VoteReply(header, true, granted));
     core.durability().sendWhenHardStateSynced(reply, core.effects());
   }
@@ -87,7 +89,7 @@
     boolean free = core.vote().isEmpty() || core.vote().get().equals(request.header().from());
     boolean granted = free && isUpToDate(request);
     if (granted) {
-      core.changeHardState(new HardState(core.term(), Optional.of(request.header().from())));
+      core.voteFor(core.term(), request.header().from());
       core.postponeElection(now);
     }
     Effect.Send reply = core.sendTo(from, new VoteReply(core.headerTo(from), false, granted));
--- a/core/src/main/java/org/verbenawheel/replication/Formation.java
+++ b/core/src/main/java/org/verbenawheel/replication/Formation.java
@@ -14,10 +14,12 @@
 /**
  * Founds a new cluster, or finds the one that exists.
  *
- * <p>An empty replica votes for nobody. It introduces itself to every initial voter until one of
- * them makes it a member. The first initial voter by name founds a cluster only once it has freshly
- * heard from all of them that they are empty too: a single one that holds a cluster, or that cannot
- * be reached, prevents it. So a lost folder never founds a second cluster beside one that lives.
+ * <p>An empty replica introduces itself to every initial voter until one of them makes it a member.
+ * The first initial voter by name founds a cluster only once it has freshly heard from all of them
+ * that they are empty too: a single one that holds a cluster, or that cannot be reached, prevents
+ * it. So a lost folder never founds a second cluster beside one that lives. Each replica takes part
+ * in one cluster in its life, so that even two founders who missed each other could not use the
+ * same replica for two quorums.
  */
 final class Formation {
   private static final long FOUNDING_INDEX = 1;
@@ -41,7 +43,7 @@
     }
     nextIntroduction = now.plus(core.timings().heartbeat());
     Introduction introduction =
-        new Introduction(core.self().process(), core.self().replica(), Optional.empty());
+        new Introduction(core.self().process(), core.self().replica(), core.cluster());
     for (ProcessId voter : initialVoters) {
       if (!voter.equals(core.self().process())) {
         core.send(voter, introduction);
@@ -60,7 +62,7 @@
   }
 
   private void foundIfAllAreEmpty(Instant now) {
-    if (initialVoters.isEmpty() || !initialVoters.first().equals(core.self().process())) {
+    if (core.cluster().isPresent() || !initialVoters.first().equals(core.self().process())) {
       return;
     }
     emptyVoters.put(core.self().process(), new Heard(core.self().replica(), now));
@@ -95,14 +97,19 @@
 
   /** Takes the first entry of a cluster that was founded with this replica, if it is empty. */
   void onFounding(Founding message) {
-    boolean forThisReplica = message.to().equals(core.self().replica());
-    if (forThisReplica && core.log().lastIndex() == 0 && core.term() == 0) {
+    ClusterId founded = ReplicationMessages.membersOf(message.founding()).cluster();
+    boolean ofOtherCluster = core.cluster().filter(own -> !own.equals(founded)).isPresent();
+    boolean forThisReplica = message.to().equals(core.self().replica()) && !ofOtherCluster;
+    if (forThisReplica && core.log().lastIndex() == 0) {
       accept(message.founding());
     }
   }
 
   private void accept(LogEntry founding) {
-    core.changeHardState(new HardState(FOUNDING_TERM, Optional.empty()));
+    core.bindTo(ReplicationMessages.membersOf(founding).cluster());
+    if (core.term() < FOUNDING_TERM) {
+      core.enterTerm(FOUNDING_TERM);
+    }
     core.append(ImmutableList.of(founding));
   }
 
--- a/core/src/main/java/org/verbenawheel/replication/Replica.java
+++ b/core/src/main/java/org/verbenawheel/replication/Replica.java
@@ -103,7 +103,12 @@
       formation.onIntroduction(now, introduction);
       return;
     }
-    if (introduction.cluster().isPresent()) {
+    boolean ofOtherCluster =
+        introduction
+            .cluster()
+            .filter(other -> !core.cluster().equals(Optional.of(other)))
+            .isPresent();
+    if (ofOtherCluster) {
       return;
     }
     formation.answer(introduction);
@@ -115,8 +120,7 @@
   private void onAddressed(Instant now, Member from, Addressed message) {
     boolean forThisReplica = message.header().to().equals(core.self().replica());
     boolean ofOtherCluster =
-        core.log().members().isPresent()
-            && !core.members().cluster().equals(message.header().cluster());
+        core.cluster().filter(own -> !own.equals(message.header().cluster())).isPresent();
     if (!forThisReplica || ofOtherCluster) {
       return;
     }
@@ -129,6 +133,7 @@
       winIfGranted(now);
       return;
     }
+    core.bindTo(message.header().cluster());
     if (message.header().term() > core.term()) {
       follow(message.header().term(), Optional.empty());
     }
@@ -136,9 +141,6 @@
   }
 
   private void onVoteRequest(Instant now, Member candidate, VoteRequest request) {
-    if (core.log().members().isEmpty()) {
-      return;
-    }
     boolean mayBeLed = leadership != null || core.mayBeLed(now);
     if (request.preVote()) {
       election.onPreVote(candidate, request, mayBeLed);
@@ -147,6 +149,7 @@
     if (mayBeLed && !request.transfer()) {
       return;
     }
+    core.bindTo(request.header().cluster());
     if (request.header().term() > core.term()) {
       follow(request.header().term(), Optional.empty());
     }
@@ -205,7 +208,7 @@
       leadership = null;
     }
     if (term > core.term()) {
-      core.changeHardState(new HardState(term, Optional.empty()));
+      core.enterTerm(term);
     }
     core.take(Role.FOLLOWER, leader);
   }
@@ -331,6 +334,7 @@
         core.durability().durableIndex(),
         core.log().lastIndex(),
         core.log().base().index(),
+        core.log().lastMembersIndex(),
         core.log().members());
   }
 
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaCore.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaCore.java
@@ -112,8 +112,27 @@
     leader = nextLeader;
   }
 
-  /** Writes a new term or vote; the term never goes back. */
-  void changeHardState(HardState next) {
+  /** Returns the cluster that this replica takes part in; empty before the first. */
+  Optional<ClusterId> cluster() {
+    return hardState.cluster();
+  }
+
+  /** Ties this replica to the cluster that it takes part in from now on. */
+  void bindTo(ClusterId cluster) {
+    changeHardState(new HardState(term(), vote(), Optional.of(cluster)));
+  }
+
+  /** Enters a new term, in which this replica has not voted. */
+  void enterTerm(long term) {
+    changeHardState(new HardState(term, Optional.empty(), cluster()));
+  }
+
+  /** Votes in a term. */
+  void voteFor(long term, ReplicaId candidate) {
+    changeHardState(new HardState(term, Optional.of(candidate), cluster()));
+  }
+
+  private void changeHardState(HardState next) {
     if (hardState.equals(next)) {
       return;
     }
@@ -174,7 +193,7 @@
   }
 
   Header headerTo(Member to, long term) {
-    return new Header(members().cluster(), self.replica(), to.replica(), term);
+    return new Header(cluster().orElseThrow(), self.replica(), to.replica(), term);
   }
 
   Effect.Send sendTo(Member to, ReplicationMessage message) {
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaStatus.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaStatus.java
@@ -17,6 +17,8 @@
  * @param durableIndex the last entry on its disk
  * @param lastIndex its last entry
  * @param snapshotIndex the last entry that is only in its snapshot
+ * @param membersIndex the entry that stated the members in force; they are final once it is
+ *     committed
  * @param members the members of the cluster; empty before there is one
  */
 public record ReplicaStatus(
@@ -30,6 +32,7 @@
     long durableIndex,
     long lastIndex,
     long snapshotIndex,
+    long membersIndex,
     Optional<ClusterMembers> members) {
 
   /**
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaStore.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaStore.java
@@ -84,7 +84,11 @@
           unpacker.tryUnpackNil()
               ? Optional.empty()
               : Optional.of(new ReplicaId(unpacker.unpackString()));
-      return new HardState(term, vote);
+      Optional<ClusterId> cluster =
+          unpacker.tryUnpackNil()
+              ? Optional.empty()
+              : Optional.of(new ClusterId(unpacker.unpackString()));
+      return new HardState(term, vote, cluster);
     } catch (IOException | MessagePackException unreadable) {
       throw new DamagedFileException(HARD_STATE_FILE, 0, "not a term and a vote: " + unreadable);
     }
@@ -184,6 +188,11 @@
       } else {
         packer.packNil();
       }
+      if (state.cluster().isPresent()) {
+        packer.packString(state.cluster().get().value());
+      } else {
+        packer.packNil();
+      }
       FramedFile.write(folder, HARD_STATE_FILE, ImmutableList.of(packer.toByteArray()));
     } catch (IOException impossible) {
       throw new IllegalStateException("packing into memory failed", impossible);
--- /dev/null
+++ b/core/src/test/java/org/verbenawheel/storage/SegmentedLogTest.java
@@ -0,0 +1,144 @@
+package org.verbenawheel.storage;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class SegmentedLogTest {
+  private static final String SEGMENT = "log-000000000001";
+
+  private final FakeFolder folder = new FakeFolder();
+
+  @Test
+  void readsBackWhatWasSynced() throws StorageException {
+    write("one", "two", "three");
+    assertThat(recovered()).containsExactly("one", "two", "three").inOrder();
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 5, 11, 12, 13, 20, 24})
+  void cutsOffATornTail(int tornBytes) throws StorageException {
+    write("one", "two", "three");
+    byte[] whole = folder.read(SEGMENT);
+    folder.cut(SEGMENT, whole.length - tornBytes);
+    assertThat(recovered()).containsExactly("one", "two").inOrder();
+    write("four");
+    assertThat(recovered()).containsExactly("one", "two", "four").inOrder();
+  }
+
+  @Test
+  void cutsOffZerosAtTheEnd() throws StorageException {
+    write("one");
+    folder.addGarbage(SEGMENT, new byte[4096]);
+    assertThat(recovered()).containsExactly("one");
+  }
+
+  @Test
+  void refusesAFlippedBitAnywhereWithTheFileAndTheOffset() throws StorageException {
+    write("one", "two", "three");
+    int length = folder.read(SEGMENT).length;
+    for (int offset = 0; offset < length; offset++) {
+      folder.flipBit(SEGMENT, offset);
+      DamagedFileException damaged =
+          assertThrows(DamagedFileException.class, () -> new SegmentedLog(folder));
+      assertThat(damaged.file()).isEqualTo(SEGMENT);
+      assertThat(damaged.offset()).isAtMost((long) offset);
+      assertThat(damaged).hasMessageThat().contains("start the process on an empty one");
+      folder.flipBit(SEGMENT, offset);
+    }
+  }
+
+  @Test
+  void losesOnlyWhatWasNotSynced() throws StorageException {
+    for (long seed = 0; seed < 100; seed++) {
+      FakeFolder crashing = new FakeFolder();
+      SegmentedLog log = new SegmentedLog(crashing);
+      append(log, 1, "synced");
+      log.sync();
+      append(log, 2, "unsynced");
+      crashing.crash(new Random(seed));
+      List<String> kept = texts(new SegmentedLog(crashing));
+      assertThat(kept.get(0)).isEqualTo("synced");
+      assertThat(kept.size()).isAtMost(2);
+    }
+  }
+
+  @Test
+  void removesFilesThatHoldNothingNeeded() throws StorageException {
+    SegmentedLog log = new SegmentedLog(folder);
+    append(log, 1, "one");
+    append(log, 2, "two");
+    log.sync();
+    log.dropThrough(1);
+    assertThat(texts(new SegmentedLog(folder))).containsExactly("one", "two").inOrder();
+    log.dropThrough(2);
+    append(log, 3, "three");
+    log.sync();
+    assertThat(texts(new SegmentedLog(folder))).containsExactly("three");
+    assertThat(folder.list()).hasSize(1);
+  }
+
+  @Test
+  void goesOnInANewFileBeyondTheSizeOfOne() throws StorageException {
+    SegmentedLog log = new SegmentedLog(folder);
+    byte[] large = new byte[5 * 1024 * 1024];
+    Arrays.fill(large, (byte) 1);
+    for (int key = 1; key <= 4; key++) {
+      log.append(key, large);
+      log.sync();
+    }
+    assertThat(log.segmentCount()).isEqualTo(2);
+    assertThat(new SegmentedLog(folder).recovered()).hasSize(4);
+  }
+
+  @Test
+  void refusesDamageAtTheEndOfAFileThatIsNotTheLast() throws StorageException {
+    SegmentedLog log = new SegmentedLog(folder);
+    log.append(1, new byte[9 * 1024 * 1024]);
+    append(log, 2, "two");
+    log.sync();
+    folder.cut(SEGMENT, folder.read(SEGMENT).length - 1);
+    assertThrows(DamagedFileException.class, () -> new SegmentedLog(folder));
+  }
+
+  @Test
+  void tellsThatTheDiskIsFull() throws StorageException {
+    SegmentedLog log = new SegmentedLog(folder);
+    folder.limitFreeBytes(30);
+    append(log, 1, "one");
+    StorageException full =
+        assertThrows(StorageException.class, () -> append(log, 2, "two and more"));
+    assertThat(full).hasMessageThat().contains("no space left");
+    folder.limitFreeBytes(1_000_000);
+    assertThat(recovered()).containsExactly("one");
+  }
+
+  private void write(String... records) throws StorageException {
+    SegmentedLog log = new SegmentedLog(folder);
+    for (String record : records) {
+      append(log, 1, record);
+    }
+    log.sync();
+  }
+
+  private static void append(SegmentedLog log, long key, String record) throws StorageException {
+    log.append(key, record.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private List<String> recovered() throws StorageException {
+    return texts(new SegmentedLog(folder));
+  }
+
+  private static List<String> texts(SegmentedLog log) {
+    return log.recovered().stream()
+        .map(record -> new String(record, StandardCharsets.UTF_8))
+        .toList();
+  }
+}
