--- a/daemon/src/main/java/org/verbenawheel/entry/EndpointConnections.java
+++ b/daemon/src/main/java/org/verbenawheel/entry/EndpointConnections.java
@@ -8,6 +8,7 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.verbenawheel.daemon.HttpAnswers;
 import org.verbenawheel.membership.EndpointRecord;
 import reactor.core.Disposable;
 import reactor.core.publisher.Mono;
@@ -80,7 +81,7 @@
 
   private Mono<HttpResponse<byte[]>> exchangeOver(
       Generation generation, HttpRequest<byte[]> request) {
-    return Mono.from(generation.client.exchange(request, byte[].class))
+    return HttpAnswers.exchange(generation.client, request)
         .doOnNext(answer -> answered(generation))
         .doFinally(signal -> giveBack(generation));
   }
