--- a/core/src/test/java/org/verbenawheel/dispatch/FakeEndpoints.java
+++ b/core/src/test/java/org/verbenawheel/dispatch/FakeEndpoints.java
@@ -3,6 +3,8 @@
 import com.google.common.collect.HashMultiset;
 import com.google.common.collect.Multiset;
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -25,9 +27,12 @@
   private final VirtualTime time;
   private final Map<EndpointId, Fault> faults = new HashMap<>();
   private final Multiset<EndpointId> running = HashMultiset.create();
+  private final Multiset<EndpointId> held = HashMultiset.create();
+  private final Map<EndpointId, Deque<Runnable>> waiting = new HashMap<>();
   private final Multiset<RequestId> runs = HashMultiset.create();
   private int attempts;
-  private int mostRunning;
+  private int mostHeld;
+  private double busySeconds;
 
   FakeEndpoints(VirtualTime time) {
     this.time = time;
@@ -54,9 +59,14 @@
     return running.size();
   }
 
-  /** Returns the most that one endpoint ever ran at once. */
-  int mostRunning() {
-    return mostRunning;
+  /** Returns the run time of all that was run. */
+  double busySeconds() {
+    return busySeconds;
+  }
+
+  /** Returns the most that one endpoint ever held at once, running or waiting for a slot. */
+  int mostHeld() {
+    return mostHeld;
   }
 
   @Override
@@ -85,17 +95,39 @@
       outcome.complete(answer(endpoint, 500));
       return;
     }
+    held.add(endpoint.id());
+    mostHeld = Math.max(mostHeld, held.count(endpoint.id()));
+    waitingAt(endpoint.id()).add(() -> run(endpoint, request, outcome));
+    runWaiting(endpoint);
+  }
+
+  /** An endpoint that holds more than its slots lets the rest wait, whatever its length. */
+  private void runWaiting(EndpointRecord endpoint) {
+    Deque<Runnable> waiting = waitingAt(endpoint.id());
+    while (!waiting.isEmpty() && running.count(endpoint.id()) < endpoint.slots()) {
+      running.add(endpoint.id());
+      waiting.remove().run();
+    }
+  }
+
+  private void run(
+      EndpointRecord endpoint, CallerRequest request, CompletableFuture<AttemptOutcome> outcome) {
     runs.add(request.id());
-    running.add(endpoint.id());
-    mostRunning = Math.max(mostRunning, running.count(endpoint.id()));
+    busySeconds += runTimeOf(request).toMillis() / 1e3;
     time.after(
         runTimeOf(request),
         () -> {
           running.remove(endpoint.id());
+          held.remove(endpoint.id());
           time.after(LATENCY, () -> outcome.complete(answer(endpoint, 200)));
+          runWaiting(endpoint);
         });
   }
 
+  private Deque<Runnable> waitingAt(EndpointId endpoint) {
+    return waiting.computeIfAbsent(endpoint, unknown -> new ArrayDeque<>());
+  }
+
   private static AttemptOutcome answer(EndpointRecord endpoint, int status) {
     return new AttemptOutcome.Answered(
         new CallerAnswer(status, Headers.NONE, Body.EMPTY, endpoint.id()));
--- a/core/src/test/java/org/verbenawheel/dispatch/RequestPathTest.java
+++ b/core/src/test/java/org/verbenawheel/dispatch/RequestPathTest.java
@@ -131,7 +131,7 @@
     assertThat(next.isDone()).isFalse();
     deployment.time.pass(Duration.ofMillis(500));
     assertThat(next.join()).isInstanceOf(CallerAnswer.class);
-    assertThat(deployment.endpoints.mostRunning()).isEqualTo(TestDeployment.SLOTS);
+    assertThat(deployment.endpoints.mostHeld()).isEqualTo(TestDeployment.SLOTS);
   }
 
   @Test
--- a/core/src/test/java/org/verbenawheel/dispatch/SlotLimitTest.java
+++ b/core/src/test/java/org/verbenawheel/dispatch/SlotLimitTest.java
@@ -43,8 +43,8 @@
       breakSomething(deployment, random);
     }
     deployment.time.pass(Duration.ofSeconds(10));
-    assertThat(deployment.endpoints.mostRunning()).isAtMost(TestDeployment.SLOTS);
-    assertThat(deployment.endpoints.mostRunning()).isGreaterThan(1);
+    assertThat(deployment.endpoints.mostHeld()).isAtMost(TestDeployment.SLOTS);
+    assertThat(deployment.endpoints.mostHeld()).isGreaterThan(1);
     assertEndedUnlessEntryDied(deployment, load);
     load.calls().forEach(call -> assertVerdictHolds(deployment, call));
     deployment.time.pass(Duration.ofSeconds(40));
@@ -63,7 +63,7 @@
         new Load(deployment, 1, request -> naive.get(random.nextInt(ENTRIES)).serve(request));
     load.call(CALLS_PER_SECOND, Duration.ofSeconds(3), DEADLINE, SlotLimitTest::path);
     deployment.time.pass(Duration.ofSeconds(10));
-    assertThat(deployment.endpoints.mostRunning()).isGreaterThan(TestDeployment.SLOTS);
+    assertThat(deployment.endpoints.mostHeld()).isGreaterThan(TestDeployment.SLOTS);
   }
 
   private static CompletableFuture<CallerOutcome> serveAnywhere(
