Learn that a route is long when its work overruns, not when it ends

Cause: with 10 stragglers/s of 4 s each, 40 started as short before the first one ended and told its run time. Change: work that passes the short limit teaches its route at that moment.

--- a/core/src/main/java/org/verbenawheel/admission/RunTimeSketch.java
+++ b/core/src/main/java/org/verbenawheel/admission/RunTimeSketch.java
@@ -13,20 +13,33 @@
 
   private double longShare;
   private double meanMilliseconds;
+  private long classified;
   private long runs;
 
   /**
-   * Adds a run.
+   * Adds a run that has passed the limit for short work, and has not ended yet.
+   *
+   * <p>Waiting for its end would let many more of its kind start as short in the meantime.
+   */
+  public void addOverrun() {
+    classified++;
+    longShare += weightOf(classified) * (1 - longShare);
+  }
+
+  /** Adds a run that ended within the limit for short work. */
+  public void addWithinLimit() {
+    classified++;
+    longShare -= weightOf(classified) * longShare;
+  }
+
+  /**
+   * Adds the time of a run that ended.
    *
    * @param runTime how long it ran
-   * @param shortWorkLimit how long short work may run
    */
-  public void add(Duration runTime, Duration shortWorkLimit) {
+  public void addRunTime(Duration runTime) {
     runs++;
-    double weight = Math.max(WEIGHT_OF_NEWEST, 1.0 / runs);
-    double isLong = runTime.compareTo(shortWorkLimit) > 0 ? 1 : 0;
-    longShare += weight * (isLong - longShare);
-    meanMilliseconds += weight * (runTime.toNanos() / 1e6 - meanMilliseconds);
+    meanMilliseconds += weightOf(runs) * (runTime.toNanos() / 1e6 - meanMilliseconds);
   }
 
   /** Returns the share of runs past the limit, from 0 to 1; 0 if none is known. */
@@ -38,4 +51,8 @@
   public Duration mean() {
     return Duration.ofNanos((long) (meanMilliseconds * 1e6));
   }
+
+  private static double weightOf(long count) {
+    return Math.max(WEIGHT_OF_NEWEST, 1.0 / count);
+  }
 }
--- a/core/src/main/java/org/verbenawheel/admission/RunTimes.java
+++ b/core/src/main/java/org/verbenawheel/admission/RunTimes.java
@@ -27,17 +27,30 @@
         }
       };
 
+  /**
+   * Adds a run that has passed the limit for short work, and has not ended yet.
+   *
+   * @param route the kind of work
+   */
+  public void addOverrun(String route) {
+    sketchOf(route).addOverrun();
+  }
+
   /**
    * Adds a run that ended.
    *
    * @param route the kind of work
    * @param runTime how long it ran
-   * @param shortWorkLimit how long short work may run
+   * @param length whether it ran past the limit for short work, which {@link #addOverrun} told
    */
-  public void add(String route, Duration runTime, Duration shortWorkLimit) {
-    sketches.computeIfAbsent(route, unknown -> new RunTimeSketch()).add(runTime, shortWorkLimit);
-    boolean isLong = runTime.compareTo(shortWorkLimit) > 0;
-    (isLong ? longRuns : shortRuns).add(runTime, shortWorkLimit);
+  public void add(String route, Duration runTime, WorkLength length) {
+    sketchOf(route).addRunTime(runTime);
+    if (length == WorkLength.SHORT) {
+      sketchOf(route).addWithinLimit();
+      shortRuns.addRunTime(runTime);
+    } else {
+      longRuns.addRunTime(runTime);
+    }
   }
 
   /**
@@ -70,4 +83,8 @@
   public Duration meanOf(WorkLength length) {
     return (length == WorkLength.LONG ? longRuns : shortRuns).mean();
   }
+
+  private RunTimeSketch sketchOf(String route) {
+    return sketches.computeIfAbsent(route, unknown -> new RunTimeSketch());
+  }
 }
--- a/core/src/main/java/org/verbenawheel/dispatch/ServiceDispatcher.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/ServiceDispatcher.java
@@ -248,7 +248,7 @@
   }
 
   private void admit(Instant now, ProcessId from, Ticket ticket) {
-    pool.advanceTo(now);
+    advanceTo(now);
     Optional<Refused> refusal = refusalOf(ticket);
     if (refusal.isPresent()) {
       refuse(now, from, refusal.get());
@@ -415,10 +415,7 @@
 
   private void free(Instant now, SlotLease lease, AttemptReport report) {
     if (report.result().teachesRunTime()) {
-      runTimes.add(
-          lease.route(),
-          Duration.ofNanos((long) (report.durationMilliseconds() * 1e6)),
-          Duration.ofMillis(settings.shortWorkMilliseconds()));
+      learn(lease, Duration.ofNanos((long) (report.durationMilliseconds() * 1e6)));
     }
     if (report.endpointKnownFree()) {
       copy.addEnded(lease.key());
@@ -433,6 +430,19 @@
     }
   }
 
+  /** A run of a route known as long that ended within the limit makes its route shorter again. */
+  private void learn(SlotLease lease, Duration runTime) {
+    Duration limit = Duration.ofMillis(settings.shortWorkMilliseconds());
+    WorkLength length = runTime.compareTo(limit) > 0 ? WorkLength.LONG : WorkLength.SHORT;
+    runTimes.add(lease.route(), runTime, length);
+  }
+
+  private void advanceTo(Instant now) {
+    for (SlotLease overrun : pool.advanceTo(now)) {
+      runTimes.addOverrun(overrun.route());
+    }
+  }
+
   private void holdUnlessKnown(Instant now, HeldSlot slot) {
     if (pool.ledger().find(slot.key()).isPresent()) {
       return;
@@ -519,7 +529,7 @@
 
   /** The copy goes out before the grants, so that it is on its way when an attempt starts. */
   private ImmutableList<DispatchEffect> finish(Instant now) {
-    pool.advanceTo(now);
+    advanceTo(now);
     refuseHopeless(now);
     grantWaiting(now);
     ImmutableList.Builder<DispatchEffect> inOrder = ImmutableList.builder();
--- a/core/src/main/java/org/verbenawheel/routing/SlotLedger.java
+++ b/core/src/main/java/org/verbenawheel/routing/SlotLedger.java
@@ -29,7 +29,7 @@
 
   private final Map<AttemptKey, SlotLease> leases = new HashMap<>();
   private final TreeSet<SlotLease> byExpiry = new TreeSet<>(BY_EXPIRY);
-  private final Deque<SlotLease> notYetLong = new ArrayDeque<>();
+  private final Deque<SlotLease> runningWithinLimit = new ArrayDeque<>();
   private final Set<AttemptKey> longKeys = new HashSet<>();
   private final Multiset<EndpointId> held = HashMultiset.create();
   private final Multiset<EndpointId> heldByLongWork = HashMultiset.create();
@@ -45,10 +45,9 @@
     leases.put(lease.key(), lease);
     byExpiry.add(lease);
     held.add(lease.endpoint());
+    runningWithinLimit.addLast(lease);
     if (isLong) {
       countAsLong(lease);
-    } else {
-      notYetLong.addLast(lease);
     }
   }
 
@@ -103,15 +102,20 @@
    *
    * @param now the present moment
    * @param shortWorkLimit how long short work may run
+   * @return the leases that have run past the limit since the last call
    */
-  public void countOverrunsAsLong(Instant now, Duration shortWorkLimit) {
+  public ImmutableList<SlotLease> countOverrunsAsLong(Instant now, Duration shortWorkLimit) {
+    ImmutableList.Builder<SlotLease> overruns = ImmutableList.builder();
     Instant newestOverrun = now.minus(shortWorkLimit);
-    while (!notYetLong.isEmpty() && notYetLong.getFirst().grantedAt().isBefore(newestOverrun)) {
-      SlotLease lease = notYetLong.removeFirst();
+    while (!runningWithinLimit.isEmpty()
+        && runningWithinLimit.getFirst().grantedAt().isBefore(newestOverrun)) {
+      SlotLease lease = runningWithinLimit.removeFirst();
       if (lease.equals(leases.get(lease.key()))) {
         countAsLong(lease);
+        overruns.add(lease);
       }
     }
+    return overruns.build();
   }
 
   /**
@@ -157,7 +161,8 @@
   }
 
   private void countAsLong(SlotLease lease) {
-    longKeys.add(lease.key());
-    heldByLongWork.add(lease.endpoint());
+    if (longKeys.add(lease.key())) {
+      heldByLongWork.add(lease.endpoint());
+    }
   }
 }
--- a/core/src/main/java/org/verbenawheel/routing/SlotPool.java
+++ b/core/src/main/java/org/verbenawheel/routing/SlotPool.java
@@ -3,6 +3,7 @@
 import static com.google.common.collect.ImmutableMap.toImmutableMap;
 
 import com.google.common.collect.ImmutableCollection;
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
@@ -66,10 +67,11 @@
    * Brings the pool to the present moment: leases expire, and short work becomes long.
    *
    * @param now the present moment
+   * @return the leases that have run past the limit for short work since the last call
    */
-  public void advanceTo(Instant now) {
+  public ImmutableList<SlotLease> advanceTo(Instant now) {
     ledger.expire(now);
-    ledger.countOverrunsAsLong(now, Duration.ofMillis(settings.shortWorkMilliseconds()));
+    return ledger.countOverrunsAsLong(now, Duration.ofMillis(settings.shortWorkMilliseconds()));
   }
 
   /**
