Give long work only the slots that short work has not needed of late

Cause: long work took its whole share of the slots at any load, and each straggler holds a slot through a hundred short runs. Change: for interactive services the limit also leaves short work its average need of two seconds at a load of at most 0.75 (at least one slot for long work).

--- a/core/src/main/java/org/verbenawheel/routing/SlotPool.java
+++ b/core/src/main/java/org/verbenawheel/routing/SlotPool.java
@@ -24,6 +24,7 @@
   private final SlotLedger ledger = new SlotLedger();
   private final EndpointChoice choice = new EndpointChoice(ledger);
   private final OutlierDetector outliers = new OutlierDetector();
+  private final LongWorkLimit longWork = new LongWorkLimit();
   private ServiceSettings settings;
   private ImmutableMap<EndpointId, EndpointRecord> endpoints = ImmutableMap.of();
   private int totalSlots;
@@ -70,6 +71,7 @@
    * @return the leases that have run past the limit for short work since the last call
    */
   public ImmutableList<SlotLease> advanceTo(Instant now) {
+    longWork.observe(now, ledger.totalHeld() - ledger.totalHeldByLongWork());
     ledger.expire(now);
     return ledger.countOverrunsAsLong(now, Duration.ofMillis(settings.shortWorkMilliseconds()));
   }
@@ -152,7 +154,7 @@
 
   /** Returns how many slots long work may hold at all endpoints together. */
   public int longWorkLimit() {
-    return share(totalSlots);
+    return longWork.limit(settings.workClass(), settings.longWorkSlotShare(), totalSlots);
   }
 
   /**
