Let the long work limit rise at once with short work's need and fall slowly

Cause: the average of two seconds lagged behind short work's peaks, so long work took slots at the start of each peak and held them through it.

--- a/core/src/main/java/org/verbenawheel/routing/LongWorkLimit.java
+++ b/core/src/main/java/org/verbenawheel/routing/LongWorkLimit.java
@@ -13,8 +13,9 @@
  * threads.
  */
 final class LongWorkLimit {
-  private static final Duration AVERAGED_OVER = Duration.ofSeconds(2);
-  private static final double HIGHEST_SHORT_WORK_LOAD = 0.75;
+  private static final Duration RISES_OVER = Duration.ofMillis(100);
+  private static final Duration FALLS_OVER = Duration.ofSeconds(5);
+  private static final double HIGHEST_SHORT_WORK_LOAD = 0.9;
 
   private double shortHeld;
   private Instant observedAt = Instant.MIN;
@@ -26,7 +27,8 @@
       return;
     }
     double elapsed = Duration.between(observedAt, now).toNanos();
-    double weight = 1 - Math.exp(-elapsed / AVERAGED_OVER.toNanos());
+    Duration averagedOver = heldByShortWork > shortHeld ? RISES_OVER : FALLS_OVER;
+    double weight = 1 - Math.exp(-elapsed / averagedOver.toNanos());
     shortHeld += weight * (heldByShortWork - shortHeld);
     observedAt = now;
   }
--- a/core/src/test/java/org/verbenawheel/dispatch/RequestPathExperiment.java
+++ b/core/src/test/java/org/verbenawheel/dispatch/RequestPathExperiment.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.verbenawheel.admission.QueueOrder;
 import org.verbenawheel.configuration.ServiceSettings;
@@ -73,7 +74,7 @@
   void stragglers() {
     print(
         "way | load | stragglers | short wait p50 ms | short wait p99 ms | times that without"
-            + " | answered in time");
+            + " | short answered | long answered");
     for (double load : List.of(0.5, 0.6, 0.7)) {
       for (boolean chosen : List.of(true, false)) {
         double without = straggler(load, "/none", 0, chosen, 0);
@@ -97,7 +98,7 @@
     run.pass(duration.plusSeconds(20));
     double wait = run.load.waitPercentile(0.99, RequestPathExperiment::isShort);
     print(
-        "%s | %.1f | %d/s of 4 s on %s | %.1f | %.1f | %.2f | %.4f",
+        "%s | %.1f | %d/s of 4 s on %s | %.1f | %.1f | %.2f | %.4f | %.3f",
         chosen ? "dispatcher" : "naive",
         load,
         stragglersPerSecond,
@@ -105,7 +106,8 @@
         run.load.waitPercentile(0.5, RequestPathExperiment::isShort),
         wait,
         wait / without,
-        run.load.answeredShare());
+        answeredShare(run, RequestPathExperiment::isShort),
+        answeredShare(run, call -> !isShort(call)));
     return wait;
   }
 
@@ -179,6 +181,11 @@
         (double) run.load.count(Load.Call::isAnswered) / (run.load.calls().size() - run.hungUp));
   }
 
+  private static double answeredShare(Run run, Predicate<Load.Call> condition) {
+    return (double) run.load.count(condition.and(Load.Call::isAnswered))
+        / run.load.count(condition);
+  }
+
   private static boolean isShort(Load.Call call) {
     return FakeEndpoints.runTimeOf(call.request()).toMillis() < 1_000;
   }
