Interface: admit by deadline and let 4096 tickets wait, not 512

Cause: the bound of 512 refused work that its deadline would have allowed; the estimate of the wait left out the messages' ways and counted tickets with later deadlines as ahead; a mean run time let work start that could not end in time. Change: tickets go by earliest deadline; the estimate counts those ahead and learns the time a slot is held; work needs its likely longest run (mean and two mean deviations); the default of queueLimit is 4096.

--- a/core/src/main/java/org/verbenawheel/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/verbenawheel/admission/AdmissionQueue.java
@@ -25,6 +25,7 @@
   private final QueueOrder order;
   private final Map<AttemptKey, WaitingTicket> tickets = new HashMap<>();
   private final NavigableSet<WaitingTicket> byDeadline = new TreeSet<>(BY_DEADLINE);
+  private final EnumMap<WorkLength, DeadlineCounts> deadlines = new EnumMap<>(WorkLength.class);
   private final EnumMap<WorkLength, NavigableSet<WaitingTicket>> byLength =
       new EnumMap<>(WorkLength.class);
 
@@ -37,6 +38,7 @@
     this.order = order;
     for (WorkLength length : WorkLength.values()) {
       byLength.put(length, new TreeSet<>(order.comparator()));
+      deadlines.put(length, new DeadlineCounts());
     }
   }
 
@@ -49,6 +51,7 @@
     if (tickets.putIfAbsent(ticket.key(), ticket) == null) {
       byDeadline.add(ticket);
       ofLength(ticket.length()).add(ticket);
+      deadlinesOf(ticket.length()).add(ticket.deadline());
     }
   }
 
@@ -65,6 +68,7 @@
     }
     byDeadline.remove(ticket);
     ofLength(ticket.length()).remove(ticket);
+    deadlinesOf(ticket.length()).remove(ticket.deadline());
     return Optional.of(ticket);
   }
 
@@ -153,6 +157,16 @@
     return ofLength(length).size();
   }
 
+  /**
+   * Returns how many tickets of a class would go before a new one.
+   *
+   * @param length the class
+   * @param deadline the new ticket's deadline
+   */
+  public int ahead(WorkLength length, Instant deadline) {
+    return order.ahead(size(length), deadlinesOf(length).before(deadline));
+  }
+
   private void removeHopeless(
       WorkLength length, Instant now, ImmutableList.Builder<WaitingTicket> hopeless) {
     Optional<WaitingTicket> next = peek(length, now);
@@ -169,4 +183,8 @@
   private NavigableSet<WaitingTicket> ofLength(WorkLength length) {
     return byLength.computeIfAbsent(length, missing -> new TreeSet<>(order.comparator()));
   }
+
+  private DeadlineCounts deadlinesOf(WorkLength length) {
+    return deadlines.computeIfAbsent(length, missing -> new DeadlineCounts());
+  }
 }
--- a/core/src/main/java/org/verbenawheel/admission/QueueOrder.java
+++ b/core/src/main/java/org/verbenawheel/admission/QueueOrder.java
@@ -28,12 +28,17 @@
     Comparator<WaitingTicket> primary() {
       return Comparator.comparing(WaitingTicket::deadline);
     }
+
+    @Override
+    int ahead(int waiting, int withEarlierDeadline) {
+      return withEarlierDeadline;
+    }
   },
-  /** The one with the shortest expected run time first. */
+  /** The one with the shortest likely run time first. */
   SHORTEST_EXPECTED {
     @Override
     Comparator<WaitingTicket> primary() {
-      return Comparator.comparing(WaitingTicket::expectedRunTime);
+      return Comparator.comparing(WaitingTicket::likelyRunTime);
     }
   };
 
@@ -59,6 +64,11 @@
     return false;
   }
 
+  /** Returns how many of the waiting tickets go before a new one. */
+  int ahead(int waiting, int withEarlierDeadline) {
+    return waiting;
+  }
+
   /** Returns the first criterion of the order. */
   Comparator<WaitingTicket> primary() {
     return Comparator.comparing(WaitingTicket::arrivedAt);
--- a/core/src/main/java/org/verbenawheel/admission/RunTimeSketch.java
+++ b/core/src/main/java/org/verbenawheel/admission/RunTimeSketch.java
@@ -10,9 +10,12 @@
  */
 public final class RunTimeSketch {
   private static final double WEIGHT_OF_NEWEST = 0.05;
+  private static final double DEVIATIONS = 2;
+  private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
 
   private double longShare;
   private double meanMilliseconds;
+  private double deviationMilliseconds;
   private long classified;
   private long runs;
 
@@ -39,7 +42,9 @@
    */
   public void addRunTime(Duration runTime) {
     runs++;
-    meanMilliseconds += weightOf(runs) * (runTime.toNanos() / 1e6 - meanMilliseconds);
+    double difference = runTime.toNanos() / NANOSECONDS_PER_MILLISECOND - meanMilliseconds;
+    meanMilliseconds += weightOf(runs) * difference;
+    deviationMilliseconds += weightOf(runs) * (Math.abs(difference) - deviationMilliseconds);
   }
 
   /** Returns the share of runs past the limit, from 0 to 1; 0 if none is known. */
@@ -49,7 +54,19 @@
 
   /** Returns the mean run time; zero if none is known. */
   public Duration mean() {
-    return Duration.ofNanos((long) (meanMilliseconds * 1e6));
+    return ofMilliseconds(meanMilliseconds);
+  }
+
+  /**
+   * Returns a time within which most runs end: the mean and twice the mean deviation, as RFC 6298
+   * bounds a round trip; zero if none is known.
+   */
+  public Duration likelyLongest() {
+    return ofMilliseconds(meanMilliseconds + DEVIATIONS * deviationMilliseconds);
+  }
+
+  private static Duration ofMilliseconds(double milliseconds) {
+    return Duration.ofNanos((long) (milliseconds * NANOSECONDS_PER_MILLISECOND));
   }
 
   private static double weightOf(long count) {
--- a/core/src/main/java/org/verbenawheel/admission/RunTimes.java
+++ b/core/src/main/java/org/verbenawheel/admission/RunTimes.java
@@ -66,13 +66,13 @@
   }
 
   /**
-   * Returns the mean run time of a route; zero if unknown.
+   * Returns a time within which most runs of a route end; zero if unknown.
    *
    * @param route the kind of work
    */
-  public Duration meanOf(String route) {
+  public Duration likelyLongestOf(String route) {
     RunTimeSketch sketch = sketches.get(route);
-    return sketch == null ? Duration.ZERO : sketch.mean();
+    return sketch == null ? Duration.ZERO : sketch.likelyLongest();
   }
 
   /**
--- a/core/src/main/java/org/verbenawheel/admission/WaitingTicket.java
+++ b/core/src/main/java/org/verbenawheel/admission/WaitingTicket.java
@@ -15,7 +15,7 @@
  * @param entryIncarnation which start of that entry's process asks
  * @param route the kind of work
  * @param length the class of the work
- * @param expectedRunTime the mean run time of its route
+ * @param likelyRunTime a time within which most runs of its route end
  * @param arrivedAt when the ticket came
  * @param deadline when an answer is worth nothing any more
  * @param avoid endpoints that already failed this request
@@ -26,17 +26,17 @@
     long entryIncarnation,
     String route,
     WorkLength length,
-    Duration expectedRunTime,
+    Duration likelyRunTime,
     Instant arrivedAt,
     Instant deadline,
     ImmutableSet<EndpointId> avoid) {
 
   /**
-   * Returns whether a slot granted now still gives the work its expected run time.
+   * Returns whether a slot granted now still gives the work its likely run time.
    *
    * @param now the present moment
    */
   public boolean canMeetDeadline(Instant now) {
-    return now.plus(expectedRunTime).isBefore(deadline);
+    return now.plus(likelyRunTime).isBefore(deadline);
   }
 }
--- a/core/src/main/java/org/verbenawheel/configuration/ServiceSettings.java
+++ b/core/src/main/java/org/verbenawheel/configuration/ServiceSettings.java
@@ -47,7 +47,7 @@
   public static final class Builder {
     private static final double DEFAULT_AVAILABILITY_BUDGET = 0.001;
     private static final long DEFAULT_DEADLINE_MILLISECONDS = 5_000;
-    private static final int DEFAULT_QUEUE_LIMIT = 512;
+    private static final int DEFAULT_QUEUE_LIMIT = 4_096;
     private static final int DEFAULT_SLOTS_PER_ENDPOINT = 8;
     private static final int DEFAULT_CONNECTIONS_PER_ENDPOINT = 64;
     private static final long DEFAULT_SHORT_WORK_MILLISECONDS = 200;
--- a/core/src/main/java/org/verbenawheel/dispatch/DispatchNode.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/DispatchNode.java
@@ -265,7 +265,7 @@
     private InstantSource clock = MonotonicInstantSource.startingNow();
     private DecisionJournal journal = new DecisionJournal(JOURNAL_CAPACITY);
     private MetricRegistry metrics = new MetricRegistry();
-    private QueueOrder order = QueueOrder.FIRST_COME;
+    private QueueOrder order = QueueOrder.EARLIEST_DEADLINE;
     private @Nullable ScheduledExecutorService thread;
 
     private Builder(
--- a/core/src/main/java/org/verbenawheel/dispatch/ServiceDispatcher.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/ServiceDispatcher.java
@@ -249,7 +249,7 @@
 
   private void admit(Instant now, ProcessId from, Ticket ticket) {
     advanceTo(now);
-    Optional<Refused> refusal = refusalOf(ticket);
+    Optional<Refused> refusal = refusalOf(now, ticket);
     if (refusal.isPresent()) {
       refuse(now, from, refusal.get());
       return;
@@ -261,13 +261,13 @@
             ticket.entryIncarnation(),
             ticket.route(),
             runTimes.lengthOf(ticket.route()),
-            runTimes.meanOf(ticket.route()),
+            runTimes.likelyLongestOf(ticket.route()),
             now,
             now.plusMillis(ticket.timeLeftMilliseconds()),
             ticket.avoid()));
   }
 
-  private Optional<Refused> refusalOf(Ticket ticket) {
+  private Optional<Refused> refusalOf(Instant now, Ticket ticket) {
     if (pool.endpoints().isEmpty()) {
       return Optional.of(
           refused(
@@ -282,10 +282,10 @@
     retries.addFirstAttempt();
     if (queue.size() >= settings.queueLimit()) {
       return Optional.of(
-          overloaded(ticket.key(), "the service's queue is full", expectedWait(ticket)));
+          overloaded(ticket.key(), "the service's queue is full", expectedWait(now, ticket)));
     }
-    Duration wait = expectedWait(ticket);
-    Duration needed = wait.plus(runTimes.meanOf(ticket.route()));
+    Duration wait = expectedWait(now, ticket);
+    Duration needed = wait.plus(runTimes.likelyLongestOf(ticket.route()));
     if (needed.toMillis() > ticket.timeLeftMilliseconds()) {
       return Optional.of(
           overloaded(ticket.key(), "the request would miss its deadline in the queue", wait));
@@ -313,13 +313,14 @@
     return Optional.empty();
   }
 
-  private Duration expectedWait(Ticket ticket) {
+  private Duration expectedWait(Instant now, Ticket ticket) {
     WorkLength length = runTimes.lengthOf(ticket.route());
     int slots = pool.totalSlots() - pool.ledger().totalHeldByLongWork();
     if (length == WorkLength.LONG) {
       slots = pool.longWorkLimit();
     }
-    return WaitEstimate.of(queue.size(length), runTimes.meanOf(length), slots);
+    int ahead = queue.ahead(length, now.plusMillis(ticket.timeLeftMilliseconds()));
+    return WaitEstimate.of(ahead, runTimes.meanOf(length), slots);
   }
 
   private void grantWaiting(Instant now) {
@@ -415,7 +416,7 @@
 
   private void free(Instant now, SlotLease lease, AttemptReport report) {
     if (report.result().teachesRunTime()) {
-      learn(lease, Duration.ofNanos((long) (report.durationMilliseconds() * 1e6)));
+      learn(lease, Duration.between(lease.grantedAt(), now));
     }
     if (report.endpointKnownFree()) {
       copy.addEnded(lease.key());
@@ -430,7 +431,11 @@
     }
   }
 
-  /** A run of a route known as long that ended within the limit makes its route shorter again. */
+  /**
+   * Learns the time that the slot was held, the ways of the messages included, since that is what
+   * the next in the queue waits for. A run of a route known as long that ended within the limit
+   * makes its route shorter again.
+   */
   private void learn(SlotLease lease, Duration runTime) {
     Duration limit = Duration.ofMillis(settings.shortWorkMilliseconds());
     WorkLength length = runTime.compareTo(limit) > 0 ? WorkLength.LONG : WorkLength.SHORT;
--- a/core/src/test/java/org/verbenawheel/dispatch/RequestPathExperiment.java
+++ b/core/src/test/java/org/verbenawheel/dispatch/RequestPathExperiment.java
@@ -31,17 +31,22 @@
 
   @Test
   void queueOrders() {
-    print("order | deadlines | answered in time | wait p50 ms | wait p99 ms | attempts in vain");
+    print(
+        "order | bound | deadlines | answered in time | wait p50 ms | wait p99 ms"
+            + " | attempts in vain");
     for (boolean mixedDeadlines : List.of(false, true)) {
       for (QueueOrder order : QueueOrder.values()) {
-        queueOrder(order, mixedDeadlines, true);
+        queueOrder(order, 8_192, mixedDeadlines, true);
       }
-      queueOrder(QueueOrder.FIRST_COME, mixedDeadlines, false);
+      queueOrder(QueueOrder.FIRST_COME, 512, mixedDeadlines, true);
+      queueOrder(QueueOrder.FIRST_COME, 0, mixedDeadlines, false);
     }
   }
 
-  private static void queueOrder(QueueOrder order, boolean mixedDeadlines, boolean chosen) {
-    Run run = new Run(1, ENDPOINTS, order, SETTINGS, chosen);
+  private static void queueOrder(
+      QueueOrder order, int bound, boolean mixedDeadlines, boolean chosen) {
+    ServiceSettings settings = TestDeployment.settings().queueLimit(bound).build();
+    Run run = new Run(1, ENDPOINTS, order, settings, chosen);
     double mean = 0.35 * CAPACITY_PER_SECOND;
     for (int turn = 0; turn < 4; turn++) {
       call(run, mean / 20, Duration.ofSeconds(6), mixedDeadlines);
@@ -52,8 +57,9 @@
     run.pass(Duration.ofSeconds(10));
     long answered = run.load.count(Load.Call::isAnswered);
     print(
-        "%s | %s | %.3f | %.1f | %.1f | %d",
+        "%s | %d | %s | %.3f | %.1f | %.1f | %d",
         chosen ? order : "naive",
+        bound,
         mixedDeadlines ? "0.3 s and 3 s" : "2 s",
         run.load.answeredShare(),
         run.load.waitPercentile(0.5, call -> true),
@@ -87,7 +93,7 @@
 
   private static double straggler(
       double load, String route, int stragglersPerSecond, boolean chosen, double without) {
-    Run run = new Run(2, ENDPOINTS, QueueOrder.FIRST_COME, SETTINGS, chosen);
+    Run run = new Run(2, ENDPOINTS, QueueOrder.EARLIEST_DEADLINE, SETTINGS, chosen);
     Duration duration = Duration.ofSeconds(30);
     run.load.call(
         load * CAPACITY_PER_SECOND, duration, Duration.ofSeconds(5), RequestPathExperiment::quote);
@@ -124,7 +130,7 @@
   }
 
   private static void failing(int endpoints, int failing, Fault fault, boolean chosen) {
-    Run run = new Run(3, endpoints, QueueOrder.FIRST_COME, SETTINGS, chosen);
+    Run run = new Run(3, endpoints, QueueOrder.EARLIEST_DEADLINE, SETTINGS, chosen);
     for (int index = 0; index < failing; index++) {
       run.deployment.endpoints.fail(TestDeployment.endpoint(index), fault);
     }
@@ -144,7 +150,7 @@
   void saturation() {
     print("way | share of slot time used | most at one endpoint | messages a request");
     for (boolean chosen : List.of(true, false)) {
-      Run run = new Run(4, ENDPOINTS, QueueOrder.FIRST_COME, SETTINGS, chosen);
+      Run run = new Run(4, ENDPOINTS, QueueOrder.EARLIEST_DEADLINE, SETTINGS, chosen);
       Duration duration = Duration.ofSeconds(20);
       run.load.call(
           1.5 * CAPACITY_PER_SECOND, duration, Duration.ofSeconds(2), RequestPathExperiment::quote);
@@ -161,7 +167,7 @@
   @Test
   void hangUps() {
     print("way | most at one endpoint | answered in time of those that stayed");
-    Run run = new Run(5, ENDPOINTS, QueueOrder.FIRST_COME, SETTINGS, true);
+    Run run = new Run(5, ENDPOINTS, QueueOrder.EARLIEST_DEADLINE, SETTINGS, true);
     for (int wave = 0; wave < 5; wave++) {
       run.load.call(
           1.5 * CAPACITY_PER_SECOND,
