Hold a slot after a lost connection for twice the longest run of its route

Cause: a lost connection leaves it unknown whether the endpoint still runs the attempt, and its slot was held until 30 s past the deadline, so a fault that cut all connections for a second stopped the service for 20 s and more. The slots of a dead entry were held as long. Change: such a slot is held for twice the longest run known of its route (at least 1 s; 30 s past the deadline if no run is known).

--- a/core/src/main/java/org/verbenawheel/admission/RunTimeSketch.java
+++ b/core/src/main/java/org/verbenawheel/admission/RunTimeSketch.java
@@ -16,6 +16,7 @@
   private double longShare;
   private double meanMilliseconds;
   private double deviationMilliseconds;
+  private Duration longest = Duration.ZERO;
   private long classified;
   private long runs;
 
@@ -42,6 +43,7 @@
    */
   public void addRunTime(Duration runTime) {
     runs++;
+    longest = runTime.compareTo(longest) > 0 ? runTime : longest;
     double difference = runTime.toNanos() / NANOSECONDS_PER_MILLISECOND - meanMilliseconds;
     meanMilliseconds += weightOf(runs) * difference;
     deviationMilliseconds += weightOf(runs) * (Math.abs(difference) - deviationMilliseconds);
@@ -65,6 +67,11 @@
     return ofMilliseconds(meanMilliseconds + DEVIATIONS * deviationMilliseconds);
   }
 
+  /** Returns the longest run known; zero if none is. */
+  public Duration longest() {
+    return longest;
+  }
+
   private static Duration ofMilliseconds(double milliseconds) {
     return Duration.ofNanos((long) (milliseconds * NANOSECONDS_PER_MILLISECOND));
   }
--- a/core/src/main/java/org/verbenawheel/admission/RunTimes.java
+++ b/core/src/main/java/org/verbenawheel/admission/RunTimes.java
@@ -13,6 +13,7 @@
 public final class RunTimes {
   private static final int MAXIMUM_ROUTES = 1_024;
   private static final double LONG_ROUTE_SHARE = 0.5;
+  private static final Duration SHORTEST_HOLD_AFTER_LOSS = Duration.ofSeconds(1);
   private static final float LOAD_FACTOR = 0.75f;
 
   private final RunTimeSketch shortRuns = new RunTimeSketch();
@@ -75,6 +76,22 @@
     return sketch == null ? Duration.ZERO : sketch.likelyLongest();
   }
 
+  /**
+   * Returns how long after the last word an endpoint may still run work of a route: twice the
+   * longest run known, and at least a second.
+   *
+   * @param route the kind of work
+   * @param whenUnknown what to return if no run is known
+   */
+  public Duration holdAfterLoss(String route, Duration whenUnknown) {
+    RunTimeSketch sketch = sketches.get(route);
+    if (sketch == null || sketch.longest().isZero()) {
+      return whenUnknown;
+    }
+    Duration twice = sketch.longest().multipliedBy(2);
+    return twice.compareTo(SHORTEST_HOLD_AFTER_LOSS) > 0 ? twice : SHORTEST_HOLD_AFTER_LOSS;
+  }
+
   /**
    * Returns the mean run time over all runs of a class; zero if unknown.
    *
--- a/core/src/main/java/org/verbenawheel/dispatch/DispatchMessages.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/DispatchMessages.java
@@ -77,9 +77,15 @@
    * @param key the attempt
    * @param endpoint whose slot it is
    * @param holdMilliseconds how long the slot is held if nobody frees it
+   * @param holdAfterLossMilliseconds how long it is held after the connection to the endpoint is
+   *     lost
    */
   public record Grant(
-      ServiceName service, AttemptKey key, EndpointRecord endpoint, long holdMilliseconds)
+      ServiceName service,
+      AttemptKey key,
+      EndpointRecord endpoint,
+      long holdMilliseconds,
+      long holdAfterLossMilliseconds)
       implements DispatchMessage {}
 
   /**
--- a/core/src/main/java/org/verbenawheel/dispatch/EntryDispatch.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/EntryDispatch.java
@@ -80,7 +80,7 @@
 
   /** Ends an attempt. */
   void release(Instant now, ServiceName service, AttemptKey key, AttemptReport report) {
-    send(dispatcherOf(service), requests.release(service, key, report));
+    send(dispatcherOf(service), requests.release(now, service, key, report));
     handleToSelf(now);
   }
 
--- a/core/src/main/java/org/verbenawheel/dispatch/ServiceDispatcher.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/ServiceDispatcher.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -170,7 +171,8 @@
    */
   public ImmutableList<DispatchEffect> onView(Instant now, MembershipView view) {
     pool.changeView(view);
-    takeover.changeLive(view.liveEntries(), now).forEach(queue::removeAllOf);
+    ImmutableSet<ProcessId> gone = takeover.changeLive(view.liveEntries(), now);
+    gone.forEach(entry -> forgetEntry(now, entry));
     copy.changeSuccessor(
         DispatcherElection.ranking(settings.name(), view.liveEntries()).stream()
             .filter(entry -> !entry.equals(self))
@@ -411,7 +413,10 @@
 
   private void sendGrant(Instant now, SlotLease lease, EndpointRecord endpoint) {
     long holdMilliseconds = Duration.between(now, lease.expiresAt()).toMillis();
-    send(lease.holder(), new Grant(settings.name(), lease.key(), endpoint, holdMilliseconds));
+    long afterLossMilliseconds = holdAfterLoss(lease).toMillis();
+    send(
+        lease.holder(),
+        new Grant(settings.name(), lease.key(), endpoint, holdMilliseconds, afterLossMilliseconds));
   }
 
   private void free(Instant now, SlotLease lease, AttemptReport report) {
@@ -420,6 +425,8 @@
     }
     if (report.endpointKnownFree()) {
       copy.addEnded(lease.key());
+    } else {
+      pool.ledger().shorten(lease, now.plus(holdAfterLoss(lease)));
     }
     if (pool.release(lease, report, now)) {
       explain(
@@ -431,6 +438,18 @@
     }
   }
 
+  private Duration holdAfterLoss(SlotLease lease) {
+    return runTimes.holdAfterLoss(lease.route(), LATE_ANSWER_LIMIT);
+  }
+
+  /** Nobody may ever say when the endpoints are free of what a dead entry sent them. */
+  private void forgetEntry(Instant now, ProcessId entry) {
+    queue.removeAllOf(entry);
+    pool.ledger().leases().stream()
+        .filter(lease -> lease.holder().equals(entry))
+        .forEach(lease -> pool.ledger().shorten(lease, now.plus(holdAfterLoss(lease))));
+  }
+
   /**
    * Learns the time that the slot was held, the ways of the messages included, since that is what
    * the next in the queue waits for. A run of a route known as long that ended within the limit
--- a/core/src/main/java/org/verbenawheel/dispatch/SlotRequests.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/SlotRequests.java
@@ -117,9 +117,11 @@
   }
 
   /** Ends an attempt. The slot stays held here until the endpoint is known free. */
-  Release release(ServiceName service, AttemptKey key, AttemptReport report) {
+  Release release(Instant now, ServiceName service, AttemptKey key, AttemptReport report) {
     if (report.endpointKnownFree()) {
       held.remove(key);
+    } else {
+      held.computeIfPresent(key, (lost, slot) -> slot.afterLoss(now));
     }
     return new Release(service, key, report);
   }
@@ -236,5 +238,10 @@
   }
 
   /** One slot that this entry holds. */
-  private record Held(Grant grant, String route, Instant heldSince, Instant expiresAt) {}
+  private record Held(Grant grant, String route, Instant heldSince, Instant expiresAt) {
+    private Held afterLoss(Instant now) {
+      Instant sooner = now.plusMillis(grant.holdAfterLossMilliseconds());
+      return sooner.isBefore(expiresAt) ? new Held(grant, route, heldSince, sooner) : this;
+    }
+  }
 }
--- a/core/src/main/java/org/verbenawheel/routing/SlotLease.java
+++ b/core/src/main/java/org/verbenawheel/routing/SlotLease.java
@@ -24,4 +24,22 @@
     long endpointIncarnation,
     String route,
     Instant grantedAt,
-    Instant expiresAt) {}
+    Instant expiresAt) {
+
+  /**
+   * Returns this lease with another end.
+   *
+   * @param newExpiresAt when the slot counts as free though nobody said so
+   */
+  SlotLease expiringAt(Instant newExpiresAt) {
+    return new SlotLease(
+        key,
+        holder,
+        holderIncarnation,
+        endpoint,
+        endpointIncarnation,
+        route,
+        grantedAt,
+        newExpiresAt);
+  }
+}
--- a/core/src/main/java/org/verbenawheel/routing/SlotLedger.java
+++ b/core/src/main/java/org/verbenawheel/routing/SlotLedger.java
@@ -70,6 +70,22 @@
     return Optional.of(lease);
   }
 
+  /**
+   * Makes a lease expire sooner; one that expires sooner already is left.
+   *
+   * @param lease the lease
+   * @param expiresAt when the slot counts as free though nobody said so
+   */
+  public void shorten(SlotLease lease, Instant expiresAt) {
+    if (!isStillHeld(lease) || !expiresAt.isBefore(lease.expiresAt())) {
+      return;
+    }
+    SlotLease shorter = lease.expiringAt(expiresAt);
+    byExpiry.remove(lease);
+    byExpiry.add(shorter);
+    leases.put(lease.key(), shorter);
+  }
+
   /**
    * Frees every slot whose lease matches.
    *
@@ -110,7 +126,7 @@
     while (!runningWithinLimit.isEmpty()
         && runningWithinLimit.getFirst().grantedAt().isBefore(newestOverrun)) {
       SlotLease lease = runningWithinLimit.removeFirst();
-      if (lease.equals(leases.get(lease.key()))) {
+      if (isStillHeld(lease)) {
         countAsLong(lease);
         overruns.add(lease);
       }
@@ -160,6 +176,11 @@
     return ImmutableList.copyOf(leases.values());
   }
 
+  private boolean isStillHeld(SlotLease lease) {
+    SlotLease present = leases.get(lease.key());
+    return present != null && present.grantedAt().equals(lease.grantedAt());
+  }
+
   private void countAsLong(SlotLease lease) {
     if (longKeys.add(lease.key())) {
       heldByLongWork.add(lease.endpoint());
--- a/core/src/test/java/org/verbenawheel/dispatch/RequestPathExperiment.java
+++ b/core/src/test/java/org/verbenawheel/dispatch/RequestPathExperiment.java
@@ -146,6 +146,38 @@
         run.load.answeredShare());
   }
 
+  @Test
+  void connectionsLostForASecond() {
+    print("answered in time within 20 s after all connections were lost for 1 s");
+    Run run = new Run(6, 9, QueueOrder.EARLIEST_DEADLINE, SETTINGS, true);
+    run.load.call(800, Duration.ofSeconds(10), Duration.ofSeconds(5), RequestPathExperiment::quote);
+    run.pass(Duration.ofSeconds(10));
+    for (int index = 0; index < 9; index++) {
+      run.deployment.endpoints.fail(TestDeployment.endpoint(index), Fault.CONNECTION_LOST);
+    }
+    run.load.call(800, Duration.ofSeconds(1), Duration.ofSeconds(5), RequestPathExperiment::quote);
+    run.pass(Duration.ofSeconds(1));
+    for (int index = 0; index < 9; index++) {
+      run.deployment.endpoints.heal(TestDeployment.endpoint(index));
+    }
+    Load after = run.newLoad();
+    after.call(800, Duration.ofSeconds(20), Duration.ofSeconds(5), RequestPathExperiment::quote);
+    run.pass(Duration.ofSeconds(30));
+    print("%.4f", after.answeredShare());
+  }
+
+  @Test
+  void processorTime() {
+    print("endpoints | tickets waiting | microseconds a ticket, granted and released");
+    for (int endpoints : List.of(10, 50, 200, 800)) {
+      for (int waiting : List.of(0, 1_000, 4_000)) {
+        new DispatcherProcessorTime(endpoints, waiting).run(20_000);
+        double microseconds = new DispatcherProcessorTime(endpoints, waiting).run(50_000);
+        print("%d | %d | %.2f", endpoints, waiting, microseconds);
+      }
+    }
+  }
+
   @Test
   void saturation() {
     print("way | share of slot time used | most at one endpoint | messages a request");
@@ -210,6 +242,7 @@
   private static final class Run {
     private final TestDeployment deployment;
     private final Load load;
+    private final Function<CallerRequest, CompletableFuture<CallerOutcome>> target;
     private final Random random;
     private final List<NaiveEntry> naive = new ArrayList<>();
     private long hungUp;
@@ -222,11 +255,15 @@
       for (int index = 0; index < ENTRIES; index++) {
         naive.add(new NaiveEntry(deployment.time, deployment.endpoints, deployment::records));
       }
-      Function<CallerRequest, CompletableFuture<CallerOutcome>> target =
+      this.target =
           chosen
               ? request -> deployment.entry(entryOf(request)).serve(request)
               : request -> naive.get(random.nextInt(ENTRIES)).serve(request);
-      this.load = new Load(deployment, seed, target);
+      this.load = newLoad();
+    }
+
+    private Load newLoad() {
+      return new Load(deployment, random.nextLong(), target);
     }
 
     private void pass(Duration duration) {
--- a/core/src/test/java/org/verbenawheel/dispatch/RequestPathTest.java
+++ b/core/src/test/java/org/verbenawheel/dispatch/RequestPathTest.java
@@ -23,7 +23,8 @@
 final class RequestPathTest {
   private static final Duration DEADLINE = Duration.ofSeconds(5);
 
-  private final TestDeployment deployment = new TestDeployment(1, 3, 2, QueueOrder.EARLIEST_DEADLINE);
+  private final TestDeployment deployment =
+      new TestDeployment(1, 3, 2, QueueOrder.EARLIEST_DEADLINE);
 
   @Test
   void answersThroughEveryEntry() {
--- a/core/src/test/java/org/verbenawheel/dispatch/SlotLimitTest.java
+++ b/core/src/test/java/org/verbenawheel/dispatch/SlotLimitTest.java
@@ -33,7 +33,8 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void holdsThroughDeathsTakeoversAndLostMessages(long seed) {
-    TestDeployment deployment = new TestDeployment(seed, ENTRIES, ENDPOINTS, QueueOrder.EARLIEST_DEADLINE);
+    TestDeployment deployment =
+        new TestDeployment(seed, ENTRIES, ENDPOINTS, QueueOrder.EARLIEST_DEADLINE);
     Random random = new Random(seed);
     deployment.network.loseShare(seed % 2 == 0 ? 0 : 0.02);
     Load load = new Load(deployment, seed, request -> serveAnywhere(deployment, random, request));
@@ -53,7 +54,8 @@
 
   @Test
   void doesNotHoldWithEachEntrysOwnCount() {
-    TestDeployment deployment = new TestDeployment(1, ENTRIES, ENDPOINTS, QueueOrder.EARLIEST_DEADLINE);
+    TestDeployment deployment =
+        new TestDeployment(1, ENTRIES, ENDPOINTS, QueueOrder.EARLIEST_DEADLINE);
     List<NaiveEntry> naive = new ArrayList<>();
     for (int index = 0; index < ENTRIES; index++) {
       naive.add(new NaiveEntry(deployment.time, deployment.endpoints, deployment::records));
