--- a/core/src/main/java/org/verbenawheel/admission/RunTimes.java
+++ b/core/src/main/java/org/verbenawheel/admission/RunTimes.java
@@ -13,6 +13,7 @@
 public final class RunTimes {
   private static final int MAXIMUM_ROUTES = 1_024;
   private static final double LONG_ROUTE_SHARE = 0.5;
+  private static final Duration SHORTEST_HOLD_AFTER_LOSS = Duration.ofSeconds(1);
   private static final float LOAD_FACTOR = 0.75f;
 
   private final RunTimeSketch shortRuns = new RunTimeSketch();
@@ -27,17 +28,30 @@
         }
       };
 
+  /**
+   * Adds a run that has passed the limit for short work, and has not ended yet.
+   *
+   * @param route the kind of work
+   */
+  public void addOverrun(String route) {
+    sketchOf(route).addOverrun();
+  }
+
   /**
    * Adds a run that ended.
    *
    * @param route the kind of work
    * @param runTime how long it ran
-   * @param shortWorkLimit how long short work may run
+   * @param length whether it ran past the limit for short work, which {@link #addOverrun} told
    */
-  public void add(String route, Duration runTime, Duration shortWorkLimit) {
-    sketches.computeIfAbsent(route, unknown -> new RunTimeSketch()).add(runTime, shortWorkLimit);
-    boolean isLong = runTime.compareTo(shortWorkLimit) > 0;
-    (isLong ? longRuns : shortRuns).add(runTime, shortWorkLimit);
+  public void add(String route, Duration runTime, WorkLength length) {
+    sketchOf(route).addRunTime(runTime);
+    if (length == WorkLength.SHORT) {
+      sketchOf(route).addWithinLimit();
+      shortRuns.addRunTime(runTime);
+    } else {
+      longRuns.addRunTime(runTime);
+    }
   }
 
   /**
@@ -53,13 +67,29 @@
   }
 
   /**
-   * Returns the mean run time of a route; zero if unknown.
+   * Returns a time within which most runs of a route end; zero if unknown.
    *
    * @param route the kind of work
    */
-  public Duration meanOf(String route) {
+  public Duration likelyLongestOf(String route) {
     RunTimeSketch sketch = sketches.get(route);
-    return sketch == null ? Duration.ZERO : sketch.mean();
+    return sketch == null ? Duration.ZERO : sketch.likelyLongest();
+  }
+
+  /**
+   * Returns how long after the last word an endpoint may still run work of a route: twice the
+   * longest run known, and at least a second.
+   *
+   * @param route the kind of work
+   * @param whenUnknown what to return if no run is known
+   */
+  public Duration holdAfterLoss(String route, Duration whenUnknown) {
+    RunTimeSketch sketch = sketches.get(route);
+    if (sketch == null || sketch.longest().isZero()) {
+      return whenUnknown;
+    }
+    Duration twice = sketch.longest().multipliedBy(2);
+    return twice.compareTo(SHORTEST_HOLD_AFTER_LOSS) > 0 ? twice : SHORTEST_HOLD_AFTER_LOSS;
   }
 
   /**
@@ -70,4 +100,8 @@
   public Duration meanOf(WorkLength length) {
     return (length == WorkLength.LONG ? longRuns : shortRuns).mean();
   }
+
+  private RunTimeSketch sketchOf(String route) {
+    return sketches.computeIfAbsent(route, unknown -> new RunTimeSketch());
+  }
 }
--- a/core/src/main/java/org/verbenawheel/dispatch/ServiceDispatcher.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/ServiceDispatcher.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
@@ -170,7 +171,8 @@
    */
   public ImmutableList<DispatchEffect> onView(Instant now, MembershipView view) {
     pool.changeView(view);
-    takeover.changeLive(view.liveEntries(), now).forEach(queue::removeAllOf);
+    ImmutableSet<ProcessId> gone = takeover.changeLive(view.liveEntries(), now);
+    gone.forEach(entry -> forgetEntry(now, entry));
     copy.changeSuccessor(
         DispatcherElection.ranking(settings.name(), view.liveEntries()).stream()
             .filter(entry -> !entry.equals(self))
@@ -248,8 +250,8 @@
   }
 
   private void admit(Instant now, ProcessId from, Ticket ticket) {
-    pool.advanceTo(now);
-    Optional<Refused> refusal = refusalOf(ticket);
+    advanceTo(now);
+    Optional<Refused> refusal = refusalOf(now, ticket);
     if (refusal.isPresent()) {
       refuse(now, from, refusal.get());
       return;
@@ -261,13 +263,13 @@
             ticket.entryIncarnation(),
             ticket.route(),
             runTimes.lengthOf(ticket.route()),
-            runTimes.meanOf(ticket.route()),
+            runTimes.likelyLongestOf(ticket.route()),
             now,
             now.plusMillis(ticket.timeLeftMilliseconds()),
             ticket.avoid()));
   }
 
-  private Optional<Refused> refusalOf(Ticket ticket) {
+  private Optional<Refused> refusalOf(Instant now, Ticket ticket) {
     if (pool.endpoints().isEmpty()) {
       return Optional.of(
           refused(
@@ -282,10 +284,10 @@
     retries.addFirstAttempt();
     if (queue.size() >= settings.queueLimit()) {
       return Optional.of(
-          overloaded(ticket.key(), "the service's queue is full", expectedWait(ticket)));
+          overloaded(ticket.key(), "the service's queue is full", expectedWait(now, ticket)));
     }
-    Duration wait = expectedWait(ticket);
-    Duration needed = wait.plus(runTimes.meanOf(ticket.route()));
+    Duration wait = expectedWait(now, ticket);
+    Duration needed = wait.plus(runTimes.likelyLongestOf(ticket.route()));
     if (needed.toMillis() > ticket.timeLeftMilliseconds()) {
       return Optional.of(
           overloaded(ticket.key(), "the request would miss its deadline in the queue", wait));
@@ -313,13 +315,14 @@
     return Optional.empty();
   }
 
-  private Duration expectedWait(Ticket ticket) {
+  private Duration expectedWait(Instant now, Ticket ticket) {
     WorkLength length = runTimes.lengthOf(ticket.route());
     int slots = pool.totalSlots() - pool.ledger().totalHeldByLongWork();
     if (length == WorkLength.LONG) {
       slots = pool.longWorkLimit();
     }
-    return WaitEstimate.of(queue.size(length), runTimes.meanOf(length), slots);
+    int ahead = queue.ahead(length, now.plusMillis(ticket.timeLeftMilliseconds()));
+    return WaitEstimate.of(ahead, runTimes.meanOf(length), slots);
   }
 
   private void grantWaiting(Instant now) {
@@ -410,18 +413,20 @@
 
   private void sendGrant(Instant now, SlotLease lease, EndpointRecord endpoint) {
     long holdMilliseconds = Duration.between(now, lease.expiresAt()).toMillis();
-    send(lease.holder(), new Grant(settings.name(), lease.key(), endpoint, holdMilliseconds));
+    long afterLossMilliseconds = holdAfterLoss(lease).toMillis();
+    send(
+        lease.holder(),
+        new Grant(settings.name(), lease.key(), endpoint, holdMilliseconds, afterLossMilliseconds));
   }
 
   private void free(Instant now, SlotLease lease, AttemptReport report) {
     if (report.result().teachesRunTime()) {
-      runTimes.add(
-          lease.route(),
-          Duration.ofNanos((long) (report.durationMilliseconds() * 1e6)),
-          Duration.ofMillis(settings.shortWorkMilliseconds()));
+      learn(lease, Duration.between(lease.grantedAt(), now));
     }
     if (report.endpointKnownFree()) {
       copy.addEnded(lease.key());
+    } else {
+      pool.ledger().shorten(lease, now.plus(holdAfterLoss(lease)));
     }
     if (pool.release(lease, report, now)) {
       explain(
@@ -433,6 +438,35 @@
     }
   }
 
+  private Duration holdAfterLoss(SlotLease lease) {
+    return runTimes.holdAfterLoss(lease.route(), LATE_ANSWER_LIMIT);
+  }
+
+  /** Nobody may ever say when the endpoints are free of what a dead entry sent them. */
+  private void forgetEntry(Instant now, ProcessId entry) {
+    queue.removeAllOf(entry);
+    pool.ledger().leases().stream()
+        .filter(lease -> lease.holder().equals(entry))
+        .forEach(lease -> pool.ledger().shorten(lease, now.plus(holdAfterLoss(lease))));
+  }
+
+  /**
+   * Learns the time that the slot was held, the ways of the messages included, since that is what
+   * the next in the queue waits for. A run of a route known as long that ended within the limit
+   * makes its route shorter again.
+   */
+  private void learn(SlotLease lease, Duration runTime) {
+    Duration limit = Duration.ofMillis(settings.shortWorkMilliseconds());
+    WorkLength length = runTime.compareTo(limit) > 0 ? WorkLength.LONG : WorkLength.SHORT;
+    runTimes.add(lease.route(), runTime, length);
+  }
+
+  private void advanceTo(Instant now) {
+    for (SlotLease overrun : pool.advanceTo(now)) {
+      runTimes.addOverrun(overrun.route());
+    }
+  }
+
   private void holdUnlessKnown(Instant now, HeldSlot slot) {
     if (pool.ledger().find(slot.key()).isPresent()) {
       return;
@@ -519,7 +553,7 @@
 
   /** The copy goes out before the grants, so that it is on its way when an attempt starts. */
   private ImmutableList<DispatchEffect> finish(Instant now) {
-    pool.advanceTo(now);
+    advanceTo(now);
     refuseHopeless(now);
     grantWaiting(now);
     ImmutableList.Builder<DispatchEffect> inOrder = ImmutableList.builder();
--- a/core/src/main/java/org/verbenawheel/routing/SlotPool.java
+++ b/core/src/main/java/org/verbenawheel/routing/SlotPool.java
@@ -3,6 +3,7 @@
 import static com.google.common.collect.ImmutableMap.toImmutableMap;
 
 import com.google.common.collect.ImmutableCollection;
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
@@ -23,6 +24,7 @@
   private final SlotLedger ledger = new SlotLedger();
   private final EndpointChoice choice = new EndpointChoice(ledger);
   private final OutlierDetector outliers = new OutlierDetector();
+  private final LongWorkLimit longWork = new LongWorkLimit();
   private ServiceSettings settings;
   private ImmutableMap<EndpointId, EndpointRecord> endpoints = ImmutableMap.of();
   private int totalSlots;
@@ -66,10 +68,12 @@
    * Brings the pool to the present moment: leases expire, and short work becomes long.
    *
    * @param now the present moment
+   * @return the leases that have run past the limit for short work since the last call
    */
-  public void advanceTo(Instant now) {
+  public ImmutableList<SlotLease> advanceTo(Instant now) {
+    longWork.observe(now, ledger.totalHeld() - ledger.totalHeldByLongWork());
     ledger.expire(now);
-    ledger.countOverrunsAsLong(now, Duration.ofMillis(settings.shortWorkMilliseconds()));
+    return ledger.countOverrunsAsLong(now, Duration.ofMillis(settings.shortWorkMilliseconds()));
   }
 
   /**
@@ -150,7 +154,7 @@
 
   /** Returns how many slots long work may hold at all endpoints together. */
   public int longWorkLimit() {
-    return share(totalSlots);
+    return longWork.limit(settings.workClass(), settings.longWorkSlotShare(), totalSlots);
   }
 
   /**
