--- /dev/null
+++ b/scenarios/src/main/java/org/verbenawheel/spread/ChosenNode.java
@@ -0,0 +1,57 @@
+package org.verbenawheel.spread;
+
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.verbenawheel.identity.ProcessId;
+import org.verbenawheel.membership.AnnounceReply;
+import org.verbenawheel.membership.EndpointAnnouncement;
+import org.verbenawheel.membership.MembershipNode;
+import org.verbenawheel.peer.PeerLinks;
+import org.verbenawheel.peer.PeerMessage;
+
+/** The membership that the product runs. */
+final class ChosenNode implements EntryNode {
+  private final MembershipNode node;
+
+  ChosenNode(ProcessId self, ImmutableSet<ProcessId> entries, PeerLinks links, boolean asks) {
+    this.node =
+        MembershipNode.builder()
+            .self(self)
+            .entries(entries)
+            .links(links)
+            .asksOnArrival(asks)
+            .build();
+  }
+
+  @Override
+  public void start() {
+    node.start(failure -> {});
+  }
+
+  @Override
+  public void stop() {
+    node.stop(Duration.ZERO);
+  }
+
+  @Override
+  public AnnounceReply announce(EndpointAnnouncement announcement) {
+    return node.announce(announcement);
+  }
+
+  @Override
+  public int endpointsSeen() {
+    return node.view().endpoints().size();
+  }
+
+  @Override
+  public void onMessage(ProcessId from, PeerMessage message) {
+    node.onMessage(from, message);
+  }
+
+  @Override
+  public Optional<CompletableFuture<PeerMessage>> onRequest(ProcessId from, PeerMessage message) {
+    return node.onRequest(from, message);
+  }
+}
