Dial a peer at once when it reached this process

Cause: after a restart of one process the others kept waiting, up to 1 s, before they dialed it again, and dropped what they meant to send: a restarted entry saw all endpoints only after 808 ms (median of 20), asking or not (RestartExperiment). Change: a peer's successful handshake ends the wait of the own link to it. Ruled out: shorter waits, which cost attempts to a dead peer all the time.

--- a/wire/src/main/java/org/verbenawheel/wire/IncomingConnections.java
+++ b/wire/src/main/java/org/verbenawheel/wire/IncomingConnections.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.verbenawheel.codec.MalformedMessageException;
 import org.verbenawheel.codec.MessageCodec;
@@ -38,6 +39,7 @@
   private final NodeContext node;
   private final MessageCodec codec;
   private final MessageDelivery delivery;
+  private final Consumer<ProcessId> peerSeen;
   private final ServerSocketChannel listener;
   private final InetSocketAddress address;
   private final Map<Connection, Incoming> connections = new LinkedHashMap<>();
@@ -46,8 +48,10 @@
       NodeContext node,
       MessageCodec codec,
       MessageDelivery delivery,
-      InetSocketAddress requestedAddress)
+      InetSocketAddress requestedAddress,
+      Consumer<ProcessId> peerSeen)
       throws IOException {
+    this.peerSeen = peerSeen;
     this.node = node;
     this.codec = codec;
     this.delivery = delivery;
@@ -83,6 +87,7 @@
   @Override
   public void onOpen(Connection connection, ProcessId peer) {
     // The peer logs that it connected; a second line here would say the same.
+    peerSeen.accept(peer);
   }
 
   @Override
--- a/wire/src/main/java/org/verbenawheel/wire/PeerLink.java
+++ b/wire/src/main/java/org/verbenawheel/wire/PeerLink.java
@@ -102,6 +102,15 @@
     connectIfDue(now);
   }
 
+  /** Takes the news that the peer reached this process: it is worth dialing at once. */
+  void onPeerSeen(Instant now) {
+    if (connection.isEmpty()) {
+      outOfReach = false;
+      nextAttemptAt = now;
+      connectIfDue(now);
+    }
+  }
+
   /** Ends the connection and fails what waits. */
   void stop() {
     stopped = true;
--- a/wire/src/main/java/org/verbenawheel/wire/RunningNode.java
+++ b/wire/src/main/java/org/verbenawheel/wire/RunningNode.java
@@ -51,7 +51,8 @@
             loop,
             counters);
     this.lastTickAt = node.clock().instant();
-    this.incoming = new IncomingConnections(node, codec, delivery, settings.listenAddress());
+    this.incoming =
+        new IncomingConnections(node, codec, delivery, settings.listenAddress(), this::onPeerSeen);
     ImmutableMap.Builder<ProcessId, PeerLink> opened = ImmutableMap.builder();
     for (var peer : settings.peers().entrySet()) {
       opened.put(peer.getKey(), new PeerLink(node, peer.getKey(), peer.getValue(), codec));
@@ -94,6 +95,10 @@
         .join();
   }
 
+  private void onPeerSeen(ProcessId peer) {
+    link(peer).ifPresent(link -> link.onPeerSeen(node.clock().instant()));
+  }
+
   private void beginDrain() {
     draining = true;
     incoming.stopListening();
--- a/wire/src/test/java/org/verbenawheel/wire/PeerNodeTest.java
+++ b/wire/src/test/java/org/verbenawheel/wire/PeerNodeTest.java
@@ -8,6 +8,9 @@
 import static org.verbenawheel.wire.TestNodes.GENEROUS;
 
 import com.google.common.collect.ImmutableMap;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -111,6 +114,35 @@
         .until(() -> client.request(ENTRY_2, new Question(2), GENEROUS).get() != null);
   }
 
+  @Test
+  void dialsAPeerThatReachedThisProcessAtOnce() throws Exception {
+    PeerTimings longWaits =
+        new PeerTimings(
+            Duration.ofMillis(100),
+            Duration.ofSeconds(1),
+            Duration.ofSeconds(1),
+            Duration.ofDays(1),
+            Duration.ofDays(1));
+    int freePort = freePort();
+    PeerNode waiting =
+        nodes.start(
+            TestNodes.builder(ENTRY_1)
+                .timings(longWaits)
+                .peers(ImmutableMap.of(ENTRY_2, "127.0.0.1:" + freePort)),
+            new RecordingHandler());
+    assertVerdict(waiting.request(ENTRY_2, new Question(1), GENEROUS), RunVerdict.NOT_RUN);
+    PeerNode started =
+        nodes.start(
+            TestNodes.builder(ENTRY_2)
+                .listenAddress("127.0.0.1:" + freePort)
+                .peers(ImmutableMap.of(ENTRY_1, addressOf(waiting))),
+            handler);
+    started.send(ENTRY_1, Note.ofText("here again"));
+    await()
+        .ignoreExceptions()
+        .until(() -> waiting.request(ENTRY_2, new Question(2), GENEROUS).get() != null);
+  }
+
   @Test
   void refusesAWrongSecret() throws Exception {
     PeerNode server = nodes.startServer(handler);
@@ -170,6 +202,12 @@
     return client;
   }
 
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
   private static String addressOf(PeerNode node) {
     return "127.0.0.1:" + node.listenAddress().getPort();
   }
