Run the last tasks of an event loop before its selector closes

Cause: a stop between two turns of the loop closed the selector first; a send that waited then met a cancelled key, the thread died before it closed the listener, and the next start could not bind (found by RestartExperiment: CancelledKeyException, then "Address already in use").

--- a/wire/src/main/java/org/verbenawheel/wire/EventLoop.java
+++ b/wire/src/main/java/org/verbenawheel/wire/EventLoop.java
@@ -52,6 +52,11 @@
     }
   }
 
+  /** Returns whether the thread ends after the tasks already given. */
+  boolean isStopping() {
+    return stopped;
+  }
+
   /** Runs a task soon, in the order given; at once if the loop has ended. */
   void execute(Runnable task) {
     tasks.add(task);
@@ -75,6 +80,8 @@
         runTasks();
         tickIfDue();
       }
+      // The last tasks close the channels; a closed selector would have cancelled their keys.
+      runTasks();
       selector.close();
     } catch (IOException | RuntimeException | Error failure) {
       failed.accept(failure);
--- a/wire/src/test/java/org/verbenawheel/wire/PeerNodeTest.java
+++ b/wire/src/test/java/org/verbenawheel/wire/PeerNodeTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.verbenawheel.identity.ProcessId;
@@ -143,6 +144,35 @@
         .until(() -> waiting.request(ENTRY_2, new Question(2), GENEROUS).get() != null);
   }
 
+  @Test
+  void startsAgainAfterAStopWhileMessagesPour() throws Exception {
+    PeerNode server = nodes.startServer(handler);
+    PeerNode client =
+        nodes.start(
+            TestNodes.builder(ENTRY_1)
+                .listenAddress("127.0.0.1:" + freePort())
+                .peers(ImmutableMap.of(ENTRY_2, addressOf(server))),
+            new RecordingHandler());
+    AtomicBoolean pouring = new AtomicBoolean(true);
+    Thread sender =
+        new Thread(
+            () -> {
+              while (pouring.get()) {
+                client.send(ENTRY_2, Note.ofText("pour"));
+              }
+            });
+    sender.start();
+    for (int round = 0; round < 100; round++) {
+      client.stop(Duration.ZERO);
+      client.start(failure -> {});
+    }
+    pouring.set(false);
+    sender.join();
+    await()
+        .ignoreExceptions()
+        .until(() -> client.request(ENTRY_2, new Question(2), GENEROUS).get() != null);
+  }
+
   @Test
   void refusesAWrongSecret() throws Exception {
     PeerNode server = nodes.startServer(handler);
