Power and lend spares by need, budget and waves; measure it on a trace

Cause: spares that are always on cost host-seconds; spares powered on by queue length come minutes after the burst. Bursts go to the queue: a pool's need is what keeps the wait in a burst within the deadline. Powered spares, then loans, then power on.

--- a/core/src/main/java/org/verbenawheel/maintenance/WavePlanner.java
+++ b/core/src/main/java/org/verbenawheel/maintenance/WavePlanner.java
@@ -1,11 +1,13 @@
 package org.verbenawheel.maintenance;
 
 import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
 import static java.util.Comparator.comparing;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableMultiset;
+import com.google.common.collect.ImmutableSet;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
@@ -78,6 +80,22 @@
     };
   }
 
+  /**
+   * Returns the pools with hosts that a running maintenance still has to take out.
+   *
+   * @param status how far it has come
+   * @param view the pools and hosts
+   */
+  public static ImmutableSet<PoolName> poolsDue(MaintenanceStatus status, PoolView view) {
+    if (status.phase() != MaintenancePhase.RUNNING) {
+      return ImmutableSet.of();
+    }
+    return view.hosts().values().stream()
+        .filter(host -> isDue(host, status))
+        .map(HostRecord::pool)
+        .collect(toImmutableSet());
+  }
+
   private WaveStep run(
       MaintenanceStatus status,
       PoolView view,
--- a/core/src/main/java/org/verbenawheel/pool/Activity.java
+++ b/core/src/main/java/org/verbenawheel/pool/Activity.java
@@ -9,7 +9,7 @@
  * @param id identifies it
  * @param kind what is done
  * @param phase how far it has come
- * @param target the pool that the host moves to; empty unless the kind is {@link ActivityKind#MOVE}
+ * @param target the pool that the host moves to; only of a move or loan
  * @param phaseIndex the log index at which the phase was entered: the fencing token of the phase's
  *     effect
  */
--- a/core/src/main/java/org/verbenawheel/pool/ActivityKind.java
+++ b/core/src/main/java/org/verbenawheel/pool/ActivityKind.java
@@ -17,6 +17,13 @@
       activity.target().ifPresent(host::pool);
     }
   },
+  /** Moves the host to another pool for a time; a move back ends the loan. */
+  LEND(ActivityPhase.REQUESTED, ActivityPhase.DRAINING, ActivityPhase.RELEASED) {
+    @Override
+    void finish(HostRecord.Builder host, Activity activity, Instant stateTime) {
+      activity.target().ifPresent(host::lentTo);
+    }
+  },
   /** Drains and reboots the host where it is, and notes when. */
   MAINTAIN(ActivityPhase.REQUESTED, ActivityPhase.DRAINING, ActivityPhase.REBOOTING) {
     @Override
--- a/core/src/main/java/org/verbenawheel/pool/HostActivities.java
+++ b/core/src/main/java/org/verbenawheel/pool/HostActivities.java
@@ -122,7 +122,7 @@
 
   private Optional<PoolReply.Refused> refuseStart(HostRecord host, StartActivity command) {
     return switch (command.kind()) {
-      case MOVE -> refuseMove(host, command);
+      case MOVE, LEND -> refuseMove(host, command);
       case MAINTAIN, POWER_OFF -> refuseUnless(host, HostCondition.IN_SERVICE);
       case POWER_ON -> refuseUnless(host, HostCondition.OFF);
     };
--- a/core/src/main/java/org/verbenawheel/pool/HostRecord.java
+++ b/core/src/main/java/org/verbenawheel/pool/HostRecord.java
@@ -20,6 +20,7 @@
  * @param activity what is being done to it
  * @param lastActivity the last activity that ended, so that a late resend is known
  * @param lastFailure the last activity that the platform could not do
+ * @param lentFrom the pool that it goes back to; empty unless capacity lent it
  * @param maintainedAt when it was last maintained
  */
 public record HostRecord(
@@ -33,6 +34,7 @@
     Optional<Activity> activity,
     Optional<ActivityId> lastActivity,
     Optional<ActivityFailure> lastFailure,
+    Optional<PoolName> lentFrom,
     Optional<Instant> maintainedAt) {
 
   /** Returns whether the host takes new work: in service and not past the start of an activity. */
@@ -68,6 +70,7 @@
             Optional.empty(),
             Optional.empty(),
             Optional.empty(),
+            Optional.empty(),
             Optional.empty()));
   }
 
@@ -81,6 +84,7 @@
     private Optional<Activity> activity;
     private Optional<ActivityId> lastActivity;
     private Optional<ActivityFailure> lastFailure;
+    private Optional<PoolName> lentFrom;
     private Optional<Instant> maintainedAt;
 
     private Builder(HostRecord start) {
@@ -92,11 +96,20 @@
       this.activity = start.activity;
       this.lastActivity = start.lastActivity;
       this.lastFailure = start.lastFailure;
+      this.lentFrom = start.lentFrom;
       this.maintainedAt = start.maintainedAt;
     }
 
-    /** Sets {@link HostRecord#pool}. */
+    /** Sets {@link HostRecord#pool}, for good. */
     public Builder pool(PoolName value) {
+      pool = value;
+      lentFrom = Optional.empty();
+      return this;
+    }
+
+    /** Sets {@link HostRecord#pool} for a time: the pool it is lent from stays its home. */
+    public Builder lentTo(PoolName value) {
+      lentFrom = Optional.of(lentFrom.orElse(pool));
       pool = value;
       return this;
     }
@@ -152,6 +165,7 @@
           activity,
           lastActivity,
           lastFailure,
+          lentFrom,
           maintainedAt);
     }
   }
--- a/core/src/main/java/org/verbenawheel/pool/PoolCommand.java
+++ b/core/src/main/java/org/verbenawheel/pool/PoolCommand.java
@@ -50,7 +50,7 @@
    * @param host the host
    * @param activityId identifies the activity; a resend with the same one changes nothing
    * @param kind what to do
-   * @param target the pool to move to; empty unless the kind is {@link ActivityKind#MOVE}
+   * @param target the pool to move to; only for a move or loan
    * @param expectedVersion the version of the host that the sender saw: of two senders that saw the
    *     same one, one wins
    */
--- /dev/null
+++ b/scenarios/src/main/java/org/verbenawheel/fleet/CapacityTrial.java
@@ -0,0 +1,318 @@
+package org.verbenawheel.fleet;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+import static com.google.common.collect.ImmutableMap.toImmutableMap;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.verbenawheel.capacity.CapacityDecider;
+import org.verbenawheel.capacity.CapacityPlanner;
+import org.verbenawheel.capacity.CapacitySettings;
+import org.verbenawheel.capacity.DemandLearner;
+import org.verbenawheel.capacity.DemandSample;
+import org.verbenawheel.capacity.PoolNeed;
+import org.verbenawheel.capacity.ServiceDemand;
+import org.verbenawheel.configuration.Configuration;
+import org.verbenawheel.configuration.PoolRole;
+import org.verbenawheel.configuration.ServiceSettings;
+import org.verbenawheel.decision.DecisionJournal;
+import org.verbenawheel.identity.AvailabilityZone;
+import org.verbenawheel.identity.PoolName;
+import org.verbenawheel.identity.ServiceName;
+import org.verbenawheel.maintenance.MaintenanceCommand.StartMaintenance;
+import org.verbenawheel.maintenance.MaintenanceDecider;
+import org.verbenawheel.maintenance.MaintenanceSettings;
+import org.verbenawheel.maintenance.WavePlanner;
+import org.verbenawheel.pool.Activity;
+import org.verbenawheel.pool.ActivityId;
+import org.verbenawheel.pool.ActivityKind;
+import org.verbenawheel.pool.FleetDecider;
+import org.verbenawheel.pool.HostCondition;
+import org.verbenawheel.pool.HostRecord;
+import org.verbenawheel.pool.PoolCommand.ReportCondition;
+import org.verbenawheel.pool.PoolCommand.StartActivity;
+import org.verbenawheel.pool.PoolView;
+import org.verbenawheel.replication.ControlCommand;
+
+/**
+ * Runs one way of powering spares over eight hours of a written trace: bursts by turns all the
+ * time, maintenance of the whole fleet from the second hour, and the availability zone zone-0 lost
+ * for an hour at the fifth.
+ */
+final class CapacityTrial {
+  private static final Duration STEP = Duration.ofSeconds(1);
+  private static final int DECISION_SECONDS = 10;
+  private static final int LAG_SECONDS = 60;
+  private static final int TRIAL_SECONDS = 8 * 3_600;
+  private static final int MAINTENANCE_SECOND = 3_600;
+  private static final int LOSS_SECOND = 4 * 3_600;
+  private static final int RETURN_SECOND = 5 * 3_600;
+  private static final int SPARE_HOSTS = 6;
+  private static final int ZONES = 3;
+  private static final double PEAK_OVER_POOL = 1.25;
+  private static final double PEAK_OVER_MEAN = 5;
+  private static final int OFFSET_SECONDS = 6;
+  private static final double BUDGET = 0.001;
+  private static final double LONG_QUEUE_SECONDS = 1;
+  private static final AvailabilityZone LOST_ZONE = new AvailabilityZone("zone-0");
+
+  /** A way of powering spares. */
+  enum Way {
+    ALL_OFF,
+    ALL_ON,
+    QUEUE_LENGTH,
+    PLANNER
+  }
+
+  /** What was measured. */
+  record Result(
+      long spareHostSeconds, int powerOns, int moves, double worstBudgetSpent, int maintained) {}
+
+  private final Deployment deployment;
+  private final Way way;
+  private final FleetTrial fleet = new FleetTrial(new Phases());
+  private final Map<PoolName, ServiceTrace> traces = new HashMap<>();
+  private final Map<ServiceName, DemandLearner> learners = new HashMap<>();
+  private final Deque<DemandSample> onTheWay = new ArrayDeque<>();
+  private final Configuration configuration;
+  private final ImmutableList<FleetDecider> deciders;
+  private int powerOns;
+  private int moves;
+  private long spareHostSeconds;
+  private boolean zoneIsLost;
+
+  CapacityTrial(Deployment deployment, Way way) {
+    this.deployment = deployment;
+    this.way = way;
+    ImmutableMap.Builder<ServiceName, ServiceSettings> services = ImmutableMap.builder();
+    for (int position = 0; position < deployment.services().size(); position++) {
+      ServiceSettings service = addService(position);
+      services.put(service.name(), service);
+    }
+    HostCondition spareCondition = way == Way.ALL_ON ? HostCondition.IN_SERVICE : HostCondition.OFF;
+    fleet.addPool(sparePool(), PoolRole.SPARE, SPARE_HOSTS, ZONES, spareCondition);
+    this.configuration =
+        new Configuration(
+            deployment.name(), services.buildOrThrow(), fleet.pools().view().pools());
+    this.deciders = ImmutableList.of(maintenance(), counted(spares()));
+  }
+
+  private ServiceSettings addService(int position) {
+    String name = deployment.services().get(position);
+    PoolName pool = new PoolName(name);
+    ServiceSettings settings =
+        ServiceSettings.builder(new ServiceName(name), pool)
+            .availabilityBudget(BUDGET)
+            .deadlineMilliseconds(deployment.deadlineMilliseconds())
+            .build();
+    int runners = deployment.runners(position);
+    fleet.addPool(pool, PoolRole.SERVING, runners, ZONES, HostCondition.IN_SERVICE);
+    double mean = runners * settings.slotsPerEndpoint() * PEAK_OVER_POOL / PEAK_OVER_MEAN;
+    traces.put(pool, new ServiceTrace(settings, mean, position * OFFSET_SECONDS));
+    learners.put(settings.name(), new DemandLearner(settings));
+    return settings;
+  }
+
+  private PoolName sparePool() {
+    return new PoolName(deployment.spare());
+  }
+
+  Result run() {
+    for (int second = 0; second < TRIAL_SECONDS; second++) {
+      happen(second);
+      passOneSecond(second);
+      fleet.step(second % DECISION_SECONDS == 0 ? deciders : ImmutableList.of(), STEP);
+    }
+    double worst =
+        traces.values().stream().mapToDouble(CapacityTrial::budgetSpent).max().orElse(0);
+    int maintained =
+        (int)
+            fleet.pools().view().hosts().values().stream()
+                .filter(host -> host.maintainedAt().isPresent())
+                .count();
+    return new Result(spareHostSeconds, powerOns, moves, worst, maintained);
+  }
+
+  private static double budgetSpent(ServiceTrace trace) {
+    double aWeek =
+        trace.offeredTotal() / TRIAL_SECONDS * DemandLearner.BUDGET_WINDOW.toSeconds();
+    return trace.unansweredTotal() / (BUDGET * aWeek);
+  }
+
+  private void happen(int second) {
+    if (second == MAINTENANCE_SECOND) {
+      fleet.commit(new StartMaintenance(Duration.ofDays(49), 0));
+    }
+    zoneIsLost = second >= LOSS_SECOND && second < RETURN_SECOND;
+    if (second >= LOSS_SECOND + LAG_SECONDS && second < RETURN_SECOND) {
+      report(HostCondition.IN_SERVICE, HostCondition.LOST);
+    } else if (second >= RETURN_SECOND + LAG_SECONDS) {
+      report(HostCondition.LOST, HostCondition.IN_SERVICE);
+    }
+  }
+
+  private void report(HostCondition from, HostCondition to) {
+    for (HostRecord host : fleet.pools().view().hosts().values()) {
+      if (isInLostZone(host) && host.condition() == from && host.activity().isEmpty()) {
+        fleet.commit(new ReportCondition(host.host(), to, host.version()));
+      }
+    }
+  }
+
+  private static boolean isInLostZone(HostRecord host) {
+    return host.location().availabilityZone().equals(LOST_ZONE);
+  }
+
+  private void passOneSecond(int second) {
+    PoolView view = fleet.pools().view();
+    traces.forEach((pool, trace) -> passOneSecond(second, trace, view.hostsOf(pool)));
+    while (!onTheWay.isEmpty()
+        && !onTheWay.peekFirst().at().plusSeconds(LAG_SECONDS).isAfter(fleet.now())) {
+      DemandSample sample = onTheWay.removeFirst();
+      Objects.requireNonNull(learners.get(sample.service())).add(sample);
+    }
+    spareHostSeconds +=
+        view.hosts().values().stream().filter(this::isPoweredSpare).count();
+  }
+
+  private void passOneSecond(int second, ServiceTrace trace, ImmutableList<HostRecord> hosts) {
+    long atWork =
+        hosts.stream()
+            .filter(host -> host.takesWork() && !(zoneIsLost && isInLostZone(host)))
+            .count();
+    double refused = trace.pass(second, atWork * (double) trace.settings().slotsPerEndpoint());
+    onTheWay.addLast(
+        new DemandSample(
+            trace.settings().name(), fleet.now(), trace.offeredAt(second), refused));
+  }
+
+  private boolean isPoweredSpare(HostRecord host) {
+    boolean spare = host.host().value().startsWith(deployment.spare());
+    return spare && (host.condition() != HostCondition.OFF || host.activity().isPresent());
+  }
+
+  private ImmutableMap<PoolName, PoolNeed> needs(Instant now) {
+    ImmutableMap<ServiceName, ServiceDemand> demands =
+        learners.values().stream()
+            .flatMap(learner -> learner.demand().stream())
+            .collect(toImmutableMap(ServiceDemand::service, demand -> demand));
+    return PoolNeed.of(configuration, demands, now);
+  }
+
+  private FleetDecider maintenance() {
+    return new MaintenanceDecider(
+        new WavePlanner(MaintenanceSettings.DEFAULT),
+        fleet.maintenance(),
+        this::needs,
+        new DecisionJournal(1));
+  }
+
+  private FleetDecider spares() {
+    return switch (way) {
+      case ALL_OFF -> (view, now) -> ImmutableList.of();
+      case ALL_ON -> (view, now) -> lendAllByTurns(view);
+      case QUEUE_LENGTH -> (view, now) -> followQueues(view);
+      case PLANNER ->
+          new CapacityDecider(
+              new CapacityPlanner(CapacitySettings.DEFAULT),
+              this::needs,
+              view -> WavePlanner.poolsDue(fleet.maintenance().status(), view),
+              new DecisionJournal(1));
+    };
+  }
+
+  private FleetDecider counted(FleetDecider decider) {
+    return (view, now) -> {
+      ImmutableList<ControlCommand> commands = decider.decide(view, now);
+      commands.forEach(this::count);
+      return commands;
+    };
+  }
+
+  private void count(ControlCommand command) {
+    if (command instanceof StartActivity start) {
+      powerOns += start.kind() == ActivityKind.POWER_ON ? 1 : 0;
+      moves += start.target().isPresent() ? 1 : 0;
+    }
+  }
+
+  private ImmutableList<ControlCommand> lendAllByTurns(PoolView view) {
+    ImmutableList.Builder<ControlCommand> commands = ImmutableList.builder();
+    int turn = 0;
+    for (HostRecord host : view.hostsOf(sparePool())) {
+      PoolName pool = new PoolName(deployment.services().get(turn++ % traces.size()));
+      if (host.activity().isEmpty()) {
+        commands.add(start(host, ActivityKind.LEND, Optional.of(pool)));
+      }
+    }
+    return commands.build();
+  }
+
+  /** Powers a spare on for each long queue, lends it there, and takes it back when it is short. */
+  private ImmutableList<ControlCommand> followQueues(PoolView view) {
+    ImmutableList.Builder<ControlCommand> commands = ImmutableList.builder();
+    Deque<HostRecord> spares =
+        new ArrayDeque<>(
+            view.hostsOf(sparePool()).stream()
+                .filter(host -> host.activity().isEmpty())
+                .collect(toImmutableList()));
+    traces.forEach((pool, trace) -> followQueue(view.hostsOf(pool), pool, trace, spares, commands));
+    spares.stream()
+        .filter(host -> host.condition() == HostCondition.IN_SERVICE)
+        .forEach(host -> commands.add(start(host, ActivityKind.POWER_OFF, Optional.empty())));
+    return commands.build();
+  }
+
+  private static void followQueue(
+      ImmutableList<HostRecord> hosts,
+      PoolName pool,
+      ServiceTrace trace,
+      Deque<HostRecord> spares,
+      ImmutableList.Builder<ControlCommand> commands) {
+    double capacity = hosts.size() * (double) trace.settings().slotsPerEndpoint();
+    boolean isLong = trace.queueSlotSeconds() / capacity > LONG_QUEUE_SECONDS;
+    if (isLong && !spares.isEmpty()) {
+      HostRecord spare = spares.removeFirst();
+      commands.add(
+          spare.condition() == HostCondition.OFF
+              ? start(spare, ActivityKind.POWER_ON, Optional.empty())
+              : start(spare, ActivityKind.LEND, Optional.of(pool)));
+    } else if (!isLong) {
+      hosts.stream()
+          .filter(host -> host.lentFrom().isPresent() && host.activity().isEmpty())
+          .findFirst()
+          .ifPresent(host -> commands.add(start(host, ActivityKind.MOVE, host.lentFrom())));
+    }
+  }
+
+  private static ControlCommand start(
+      HostRecord host, ActivityKind kind, Optional<PoolName> target) {
+    ActivityId id = new ActivityId("naive-" + host.version());
+    return new StartActivity(host.host(), id, kind, target, host.version());
+  }
+
+  /** Powering on takes four minutes, a reboot too, and a drain half a minute. */
+  private record Phases() implements FleetTrial.PhaseModel {
+    @Override
+    public Duration time(HostRecord host, Activity activity) {
+      return switch (activity.phase()) {
+        case DRAINING -> Duration.ofSeconds(30);
+        case REBOOTING, POWERING_ON -> Duration.ofMinutes(4);
+        default -> Duration.ZERO;
+      };
+    }
+
+    @Override
+    public boolean fails(HostRecord host, Activity activity) {
+      return false;
+    }
+  }
+}
