Deal spares out by the share of its need that each pool lacks

Cause: spares went to one pool after the other in the order of budgets, and a reserve counted as much as a need: selo lacked two of seven hosts for three hours while others held reserves. Hosts are dealt one at a time to the pool that lacks the largest share of its need; needs go before waves and reserves, and a host on loan goes home when its home lacks hosts. Ruled out: larger budgets of the reserve; they take from needs the same.

--- a/core/src/main/java/org/verbenawheel/capacity/CapacityPlanner.java
+++ b/core/src/main/java/org/verbenawheel/capacity/CapacityPlanner.java
@@ -1,7 +1,7 @@
 package org.verbenawheel.capacity;
 
 import static com.google.common.collect.ImmutableList.toImmutableList;
-import static java.util.Comparator.comparing;
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
@@ -9,12 +9,15 @@
 import com.google.common.collect.Iterables;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.verbenawheel.configuration.PoolRole;
 import org.verbenawheel.configuration.PoolSettings;
+import org.verbenawheel.identity.HostName;
 import org.verbenawheel.identity.PoolName;
 import org.verbenawheel.pool.ActivityId;
 import org.verbenawheel.pool.ActivityKind;
@@ -28,8 +31,9 @@
  *
  * <p>Bursts are left to the queues, because powering a host on takes far longer than a burst lasts:
  * a pool's need already counts them. A pool that lacks hosts gets powered spares first, then hosts
- * that another pool has to spare, and only for the rest are spares powered on. Hosts go back, and
- * spares off, once they are not needed and have stayed for the hold time.
+ * that another pool does not need, and only for the rest are spares powered on. Needs go before
+ * waves, and waves before reserves. Hosts go back, and spares off, once they are not wanted and
+ * have stayed for the hold time.
  */
 public final class CapacityPlanner {
   private final CapacitySettings settings;
@@ -60,7 +64,6 @@
         needs.values().stream()
             .filter(need -> role(view, need.pool()) == PoolRole.SERVING)
             .map(need -> PoolBalance.of(need, view, maintenanceDue.contains(need.pool()), settings))
-            .sorted(comparing(balance -> balance.need().budgetLeft()))
             .collect(toImmutableList());
     Round round = new Round(view, balances, now);
     round.fillMissing();
@@ -80,6 +83,7 @@
     private final ImmutableList<PoolBalance> balances;
     private final Instant now;
     private final List<CapacityPlan.Step> steps = new ArrayList<>();
+    private final Set<HostName> taken = new HashSet<>();
     private final Iterator<HostRecord> poweredSpares;
     private final Iterator<HostRecord> lendable;
     private int missingStill;
@@ -93,11 +97,7 @@
     }
 
     void fillMissing() {
-      for (PoolBalance balance : balances) {
-        for (int count = 0; count < balance.missing(); count++) {
-          fillOne(balance);
-        }
-      }
+      WantedHost.byUrgency(balances).forEach(this::fill);
       int coming = (int) spareHosts().filter(CapacityPlanner::isPoweringOn).count();
       ImmutableList<HostRecord> off = spares(HostCondition.OFF);
       for (HostRecord host : Iterables.limit(off, Math.max(0, missingStill - coming))) {
@@ -105,37 +105,53 @@
       }
     }
 
-    private void fillOne(PoolBalance balance) {
-      Optional<PoolName> target = Optional.of(balance.need().pool());
+    private void fill(WantedHost wanted) {
+      PoolBalance balance = wanted.balance();
+      Optional<PoolName> target = Optional.of(balance.pool());
+      String reason = wanted.purpose() + ": " + balance;
       if (poweredSpares.hasNext()) {
-        add(poweredSpares.next(), ActivityKind.LEND, target, balance.toString());
-      } else if (lendable.hasNext()) {
-        add(lendable.next(), ActivityKind.LEND, target, balance.toString());
+        add(poweredSpares.next(), ActivityKind.LEND, target, reason);
+      } else if (wanted.purpose() == WantedHost.Purpose.NEED && lendable.hasNext()) {
+        add(lendable.next(), ActivityKind.LEND, target, reason);
       } else {
         missingStill++;
       }
     }
 
-    /** Hosts on loan are given back rather than lent on. */
+    /** What a pool holds for a wave or in reserve is lent too: another pool needs it now. */
     private ImmutableList<HostRecord> lendableOf(PoolBalance balance) {
-      int lendableCount = -balance.missing() - settings.lenderMargin();
+      int lendableCount = balance.beyondNeed() - settings.lenderMargin();
       return balance.atWork().stream()
-          .filter(host -> host.lentFrom().isEmpty() && hasStayed(host))
+          .filter(this::hasStayed)
           .limit(Math.max(0, lendableCount))
           .collect(toImmutableList());
     }
 
     void giveBack() {
+      ImmutableSet<PoolName> shortPools =
+          balances.stream()
+              .filter(balance -> balance.beyondNeed() < 0)
+              .map(PoolBalance::pool)
+              .collect(toImmutableSet());
       for (PoolBalance balance : balances) {
-        balance.atWork().stream()
-            .filter(host -> host.lentFrom().isPresent() && hasStayed(host))
-            .limit(Math.max(0, -balance.missing()))
-            .forEach(
-                host ->
-                    add(host, ActivityKind.MOVE, host.lentFrom(), "no longer needed: " + balance));
+        int left = balance.beyondNeed();
+        int unwanted = balance.beyondTarget();
+        for (HostRecord host : balance.atWork()) {
+          boolean homeIsShort = host.lentFrom().filter(shortPools::contains).isPresent();
+          boolean isFree = homeIsShort ? left > 0 : unwanted > 0;
+          if (host.lentFrom().isPresent() && isFree && mayGoBack(host)) {
+            add(host, ActivityKind.MOVE, host.lentFrom(), "goes back: " + balance);
+            left--;
+            unwanted--;
+          }
+        }
       }
     }
 
+    private boolean mayGoBack(HostRecord host) {
+      return hasStayed(host) && !taken.contains(host.host());
+    }
+
     void powerOffIdleSpares() {
       if (missingStill > 0) {
         return;
@@ -182,6 +198,7 @@
     }
 
     private void add(HostRecord host, ActivityKind kind, Optional<PoolName> target, String reason) {
+      taken.add(host.host());
       ActivityId id = new ActivityId("capacity-" + host.version());
       steps.add(
           new CapacityPlan.Step(
--- a/core/src/main/java/org/verbenawheel/capacity/PoolBalance.java
+++ b/core/src/main/java/org/verbenawheel/capacity/PoolBalance.java
@@ -17,31 +17,42 @@
  * @param need what its services need
  * @param atWork the hosts in it that take work
  * @param incoming how many hosts are on their way to it
- * @param target how many hosts should work in it
+ * @param forWave how many hosts more a maintenance wave wants, to find room
+ * @param reserve how many hosts more it should have against the loss of an availability zone
  */
-record PoolBalance(PoolNeed need, ImmutableList<HostRecord> atWork, int incoming, int target) {
+record PoolBalance(
+    PoolNeed need, ImmutableList<HostRecord> atWork, int incoming, int forWave, int reserve) {
 
   /**
-   * Weighs a pool. The target is its need, one host more while a maintenance wave would otherwise
-   * find no room, and a reserve for the loss of an availability zone while what is left of the
-   * budget would not last until spares have reacted to it.
+   * Weighs a pool. It wants a host for a wave that would find no room otherwise, and a reserve
+   * while what is left of the budget would not last until spares have reacted to a lost zone.
    */
   static PoolBalance of(
       PoolNeed need, PoolView view, boolean maintenanceIsDue, CapacitySettings settings) {
+    ImmutableList<HostRecord> hosts = view.hostsOf(need.pool());
     ImmutableList<HostRecord> atWork =
-        view.hostsOf(need.pool()).stream()
-            .filter(host -> host.takesWork() && !isLeaving(host))
+        hosts.stream()
+            .filter(host -> host.takesWork() && host.activity().isEmpty())
             .collect(ImmutableList.toImmutableList());
     int incoming =
         (int) view.hosts().values().stream().filter(host -> isMovingTo(host, need.pool())).count();
-    int forWave = maintenanceIsDue && !isWaveInProgress(need.pool(), view) ? 1 : 0;
-    int target = need.hosts() + forWave + reserve(need, atWork, incoming, settings);
-    return new PoolBalance(need, atWork, incoming, target);
+    boolean waveWaits = maintenanceIsDue && need.budgetLeft() > 0 && !isWaveInProgress(hosts);
+    int reserve = reserve(need, atWork, incoming, settings);
+    return new PoolBalance(need, atWork, incoming, waveWaits ? 1 : 0, reserve);
+  }
+
+  PoolName pool() {
+    return need.pool();
   }
 
-  /** Returns how many hosts are missing; negative if there are more than the target. */
-  int missing() {
-    return target - atWork.size() - incoming;
+  /** Returns how many hosts it has and will have beyond its services' need; may be negative. */
+  int beyondNeed() {
+    return atWork.size() + incoming - need.hosts();
+  }
+
+  /** Returns how many hosts it has beyond everything it wants; negative if it wants more. */
+  int beyondTarget() {
+    return beyondNeed() - forWave - reserve;
   }
 
   private static int reserve(
@@ -57,8 +68,8 @@
     return cost > need.budgetLeft() ? largestZone : 0;
   }
 
-  private static boolean isWaveInProgress(PoolName pool, PoolView view) {
-    return view.hostsOf(pool).stream()
+  private static boolean isWaveInProgress(ImmutableList<HostRecord> hosts) {
+    return hosts.stream()
         .flatMap(host -> host.activity().stream())
         .anyMatch(activity -> activity.kind() == ActivityKind.MAINTAIN);
   }
@@ -71,10 +82,6 @@
     return zones.entrySet().stream().mapToInt(Multiset.Entry::getCount).max().orElse(0);
   }
 
-  private static boolean isLeaving(HostRecord host) {
-    return host.activity().filter(activity -> activity.kind() != ActivityKind.POWER_ON).isPresent();
-  }
-
   private static boolean isMovingTo(HostRecord host, PoolName pool) {
     return host.condition() == HostCondition.IN_SERVICE
         && host.activity().flatMap(Activity::target).filter(pool::equals).isPresent();
@@ -83,6 +90,7 @@
   @Override
   public String toString() {
     return String.format(
-        "%s: %d of %d at work, %d incoming", need.pool(), atWork.size(), target, incoming);
+        "%s has %d hosts at work and %d incoming; needs %d, %d for a wave, %d in reserve",
+        need.pool(), atWork.size(), incoming, need.hosts(), forWave, reserve);
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/capacity/WantedHost.java
@@ -0,0 +1,61 @@
+package org.verbenawheel.capacity;
+
+import static com.google.common.collect.ImmutableList.toImmutableList;
+import static java.util.Comparator.comparing;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Comparator;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+/**
+ * One host that a pool wants, with how urgent it is.
+ *
+ * @param balance the pool
+ * @param purpose what for
+ * @param missingShare the share of its need that the pool lacks before it gets this host
+ */
+record WantedHost(PoolBalance balance, Purpose purpose, double missingShare) {
+  /** What a host is wanted for, the most urgent first. */
+  enum Purpose {
+    NEED,
+    WAVE,
+    RESERVE
+  }
+
+  private static final Comparator<WantedHost> MOST_URGENT_FIRST =
+      comparing(WantedHost::purpose)
+          .thenComparing(comparing(WantedHost::missingShare).reversed())
+          .thenComparing(wanted -> wanted.balance().need().budgetLeft());
+
+  /**
+   * Returns every host that the pools want, the most urgent first. Hosts are dealt out one at a
+   * time to the pool that lacks the largest share, so that a shortage is spread.
+   */
+  static ImmutableList<WantedHost> byUrgency(ImmutableList<PoolBalance> balances) {
+    return balances.stream()
+        .flatMap(WantedHost::of)
+        .sorted(MOST_URGENT_FIRST)
+        .collect(toImmutableList());
+  }
+
+  private static Stream<WantedHost> of(PoolBalance balance) {
+    int missing = Math.max(0, -balance.beyondTarget());
+    int missingForNeed = Math.max(0, -balance.beyondNeed());
+    int missingForWave = Math.min(balance.forWave(), missing - missingForNeed);
+    return IntStream.range(0, missing)
+        .mapToObj(
+            position ->
+                new WantedHost(
+                    balance,
+                    purposeOf(position, missingForNeed, missingForWave),
+                    (missing - position) / (double) balance.need().hosts()));
+  }
+
+  private static Purpose purposeOf(int position, int missingForNeed, int missingForWave) {
+    if (position < missingForNeed) {
+      return Purpose.NEED;
+    }
+    return position < missingForNeed + missingForWave ? Purpose.WAVE : Purpose.RESERVE;
+  }
+}
