Judge the reserve as if none were held

Cause: a pool with its reserve would do without after a loss, so its reserve came out as zero; it sent the hosts back and asked for them again each hold time. The reserve is weighed from the pool's need and its largest availability zone alone. Ruled out: a longer hold time; it only makes the same turns rarer.

--- a/core/src/main/java/org/verbenawheel/capacity/PoolBalance.java
+++ b/core/src/main/java/org/verbenawheel/capacity/PoolBalance.java
@@ -37,7 +37,7 @@
     int incoming =
         (int) view.hosts().values().stream().filter(host -> isMovingTo(host, need.pool())).count();
     boolean waveWaits = maintenanceIsDue && need.budgetLeft() > 0 && !isWaveInProgress(hosts);
-    int reserve = reserve(need, atWork, incoming, settings);
+    int reserve = reserve(need, atWork, settings);
     return new PoolBalance(need, atWork, incoming, waveWaits ? 1 : 0, reserve);
   }
 
@@ -55,14 +55,11 @@
     return beyondNeed() - forWave - reserve;
   }
 
+  /** Does not look at hosts held in reserve already, or it would send them back and ask again. */
   private static int reserve(
-      PoolNeed need, ImmutableList<HostRecord> atWork, int incoming, CapacitySettings settings) {
+      PoolNeed need, ImmutableList<HostRecord> atWork, CapacitySettings settings) {
     int largestZone = hostsInLargestZone(atWork);
-    int missingAfterLoss = need.hosts() - (atWork.size() + incoming - largestZone);
-    if (missingAfterLoss <= 0) {
-      return 0;
-    }
-    double shortfall = Math.min(1, missingAfterLoss / (double) need.hosts());
+    double shortfall = Math.min(1, largestZone / (double) need.hosts());
     double cost =
         shortfall * settings.reactionTime().toSeconds() / DemandLearner.BUDGET_WINDOW.toSeconds();
     return cost > need.budgetLeft() ? largestZone : 0;
