Hold a reserve only for a time after a loss

Cause: once a budget is spent, its pool held a reserve for the rest of the budget's window, all spares on. Ruled out: no reserve at all (a second loss right after a repair would meet spares that are off).

--- a/core/src/main/java/org/verbenawheel/capacity/CapacityPlanner.java
+++ b/core/src/main/java/org/verbenawheel/capacity/CapacityPlanner.java
@@ -63,7 +63,9 @@
     ImmutableList<PoolBalance> balances =
         needs.values().stream()
             .filter(need -> role(view, need.pool()) == PoolRole.SERVING)
-            .map(need -> PoolBalance.of(need, view, maintenanceDue.contains(need.pool()), settings))
+            .map(
+                need ->
+                    PoolBalance.of(need, view, maintenanceDue.contains(need.pool()), settings, now))
             .collect(toImmutableList());
     Round round = new Round(view, balances, now);
     round.fillMissing();
--- a/core/src/main/java/org/verbenawheel/capacity/PoolBalance.java
+++ b/core/src/main/java/org/verbenawheel/capacity/PoolBalance.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMultiset;
 import com.google.common.collect.Multiset;
+import java.time.Instant;
 import org.verbenawheel.identity.AvailabilityZone;
 import org.verbenawheel.identity.PoolName;
 import org.verbenawheel.pool.Activity;
@@ -25,10 +26,16 @@
 
   /**
    * Weighs a pool. It wants a host for a wave that would find no room otherwise, and a reserve
-   * while what is left of the budget would not last until spares have reacted to a lost zone.
+   * while what is left of the budget would not last until spares have reacted to a lost zone. It
+   * holds the reserve only for a time after a host was lost: losses come together, and at other
+   * times the budget of a whole window is not worth spares that are on all through it.
    */
   static PoolBalance of(
-      PoolNeed need, PoolView view, boolean maintenanceIsDue, CapacitySettings settings) {
+      PoolNeed need,
+      PoolView view,
+      boolean maintenanceIsDue,
+      CapacitySettings settings,
+      Instant now) {
     ImmutableList<HostRecord> hosts = view.hostsOf(need.pool());
     ImmutableList<HostRecord> atWork =
         hosts.stream()
@@ -37,7 +44,8 @@
     int incoming =
         (int) view.hosts().values().stream().filter(host -> isMovingTo(host, need.pool())).count();
     boolean waveWaits = maintenanceIsDue && need.budgetLeft() > 0 && !isWaveInProgress(hosts);
-    int reserve = reserve(need, atWork, settings);
+    boolean lossIsRecent = hosts.stream().anyMatch(host -> wasLostLately(host, settings, now));
+    int reserve = lossIsRecent ? reserve(need, atWork, settings) : 0;
     return new PoolBalance(need, atWork, incoming, waveWaits ? 1 : 0, reserve);
   }
 
@@ -55,6 +63,10 @@
     return beyondNeed() - forWave - reserve;
   }
 
+  private static boolean wasLostLately(HostRecord host, CapacitySettings settings, Instant now) {
+    return host.lostAt().filter(at -> at.plus(settings.watchTime()).isAfter(now)).isPresent();
+  }
+
   /** Does not look at hosts held in reserve already, or it would send them back and ask again. */
   private static int reserve(
       PoolNeed need, ImmutableList<HostRecord> atWork, CapacitySettings settings) {
--- a/core/src/main/java/org/verbenawheel/pool/HostActivities.java
+++ b/core/src/main/java/org/verbenawheel/pool/HostActivities.java
@@ -103,7 +103,7 @@
     return changed(
         host.toBuilder()
             .activityEnded()
-            .condition(HostCondition.LOST)
+            .lost(context.stateTime())
             .lastFailure(failure(host, command)));
   }
 
@@ -117,7 +117,9 @@
     if (host.activity().isPresent()) {
       return Refusals.hostBusy(host);
     }
-    return changed(host.toBuilder().condition(command.condition()));
+    HostRecord.Builder reported = host.toBuilder().condition(command.condition());
+    return changed(
+        command.condition() == HostCondition.LOST ? reported.lost(context.stateTime()) : reported);
   }
 
   private Optional<PoolReply.Refused> refuseStart(HostRecord host, StartActivity command) {
--- a/core/src/main/java/org/verbenawheel/pool/HostRecord.java
+++ b/core/src/main/java/org/verbenawheel/pool/HostRecord.java
@@ -21,6 +21,7 @@
  * @param lastActivity the last activity that ended, so that a late resend is known
  * @param lastFailure the last activity that the platform could not do
  * @param lentFrom the pool that it goes back to; empty unless capacity lent it
+ * @param lostAt when it was last lost
  * @param maintainedAt when it was last maintained
  */
 public record HostRecord(
@@ -35,6 +36,7 @@
     Optional<ActivityId> lastActivity,
     Optional<ActivityFailure> lastFailure,
     Optional<PoolName> lentFrom,
+    Optional<Instant> lostAt,
     Optional<Instant> maintainedAt) {
 
   /** Returns whether the host takes new work: in service and not past the start of an activity. */
@@ -71,6 +73,7 @@
             Optional.empty(),
             Optional.empty(),
             Optional.empty(),
+            Optional.empty(),
             Optional.empty()));
   }
 
@@ -85,6 +88,7 @@
     private Optional<ActivityId> lastActivity;
     private Optional<ActivityFailure> lastFailure;
     private Optional<PoolName> lentFrom;
+    private Optional<Instant> lostAt;
     private Optional<Instant> maintainedAt;
 
     private Builder(HostRecord start) {
@@ -97,6 +101,7 @@
       this.lastActivity = start.lastActivity;
       this.lastFailure = start.lastFailure;
       this.lentFrom = start.lentFrom;
+      this.lostAt = start.lostAt;
       this.maintainedAt = start.maintainedAt;
     }
 
@@ -120,6 +125,13 @@
       return this;
     }
 
+    /** Sets {@link HostRecord#condition} to lost, and {@link HostRecord#lostAt}. */
+    public Builder lost(Instant at) {
+      condition = HostCondition.LOST;
+      lostAt = Optional.of(at);
+      return this;
+    }
+
     /** Sets {@link HostRecord#version} and {@link HostRecord#changedAt}. */
     public Builder changed(long index, Instant at) {
       version = index;
@@ -166,6 +178,7 @@
           lastActivity,
           lastFailure,
           lentFrom,
+          lostAt,
           maintainedAt);
     }
   }
