--- a/core/src/main/java/org/verbenawheel/capacity/DemandLearner.java
+++ b/core/src/main/java/org/verbenawheel/capacity/DemandLearner.java
@@ -6,7 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
-import org.verbenawheel.configuration.ServiceSettings;
+import org.verbenawheel.identity.ServiceName;
 
 /**
  * Learns the demand for one service from its samples: the mean, the height and length of its
@@ -36,7 +36,7 @@
     }
   }
 
-  private final ServiceSettings settings;
+  private final ServiceName service;
   private final Deque<Part> parts = new ArrayDeque<>();
   private double mean;
   private long samples;
@@ -46,10 +46,10 @@
   /**
    * Makes a learner without samples.
    *
-   * @param settings the service and its budget
+   * @param service the service
    */
-  public DemandLearner(ServiceSettings settings) {
-    this.settings = settings;
+  public DemandLearner(ServiceName service) {
+    this.service = service;
   }
 
   /**
@@ -71,8 +71,13 @@
     part.unanswered += sample.unansweredSlots();
   }
 
-  /** Returns the demand as far as it is known; empty before the mean has settled. */
-  public Optional<ServiceDemand> demand() {
+  /**
+   * Returns the demand as far as it is known.
+   *
+   * @param availabilityBudget the share of requests that may go unanswered
+   * @return the demand; empty before the mean has settled
+   */
+  public Optional<ServiceDemand> demand(double availabilityBudget) {
     if (samples < MEAN_SECONDS) {
       return Optional.empty();
     }
@@ -83,12 +88,13 @@
       longestBurst = Math.max(longestBurst, part.longestBurst);
     }
     return Optional.of(
-        new ServiceDemand(settings.name(), mean, peak, longestBurst, budgetSpent(), newest));
+        new ServiceDemand(
+            service, mean, peak, longestBurst, budgetSpent(availabilityBudget), newest));
   }
 
-  private double budgetSpent() {
+  private double budgetSpent(double availabilityBudget) {
     double unanswered = parts.stream().mapToDouble(part -> part.unanswered).sum();
-    double allowed = settings.availabilityBudget() * mean * BUDGET_WINDOW.toSeconds();
+    double allowed = availabilityBudget * mean * BUDGET_WINDOW.toSeconds();
     return allowed == 0 ? 0 : unanswered / allowed;
   }
 
--- a/scenarios/src/main/java/org/verbenawheel/fleet/CapacityTrial.java
+++ b/scenarios/src/main/java/org/verbenawheel/fleet/CapacityTrial.java
@@ -1,7 +1,6 @@
 package org.verbenawheel.fleet;
 
 import static com.google.common.collect.ImmutableList.toImmutableList;
-import static com.google.common.collect.ImmutableMap.toImmutableMap;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
@@ -11,18 +10,17 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import org.verbenawheel.capacity.CapacityDecider;
 import org.verbenawheel.capacity.CapacityPlanner;
 import org.verbenawheel.capacity.CapacitySettings;
+import org.verbenawheel.capacity.DemandBoard;
 import org.verbenawheel.capacity.DemandLearner;
 import org.verbenawheel.capacity.DemandSample;
-import org.verbenawheel.capacity.PoolNeed;
-import org.verbenawheel.capacity.ServiceDemand;
 import org.verbenawheel.configuration.Configuration;
 import org.verbenawheel.configuration.PoolRole;
 import org.verbenawheel.configuration.ServiceSettings;
+import org.verbenawheel.configuration.VersionedConfiguration;
 import org.verbenawheel.decision.DecisionJournal;
 import org.verbenawheel.identity.AvailabilityZone;
 import org.verbenawheel.identity.PoolName;
@@ -80,9 +78,8 @@
   private final Way way;
   private final FleetTrial fleet = new FleetTrial(new Phases());
   private final Map<PoolName, ServiceTrace> traces = new HashMap<>();
-  private final Map<ServiceName, DemandLearner> learners = new HashMap<>();
+  private final DemandBoard demand;
   private final Deque<DemandSample> onTheWay = new ArrayDeque<>();
-  private final Configuration configuration;
   private final ImmutableList<FleetDecider> deciders;
   private int powerOns;
   private int moves;
@@ -99,9 +96,10 @@
     }
     HostCondition spareCondition = way == Way.ALL_ON ? HostCondition.IN_SERVICE : HostCondition.OFF;
     fleet.addPool(sparePool(), PoolRole.SPARE, SPARE_HOSTS, ZONES, spareCondition);
-    this.configuration =
+    Configuration configuration =
         new Configuration(
             deployment.name(), services.buildOrThrow(), fleet.pools().view().pools());
+    this.demand = new DemandBoard(() -> new VersionedConfiguration(1, configuration));
     this.deciders = ImmutableList.of(maintenance(), counted(spares()));
   }
 
@@ -117,7 +115,6 @@
     fleet.addPool(pool, PoolRole.SERVING, runners, ZONES, HostCondition.IN_SERVICE);
     double mean = runners * settings.slotsPerEndpoint() * PEAK_OVER_POOL / PEAK_OVER_MEAN;
     traces.put(pool, new ServiceTrace(settings, mean, position * OFFSET_SECONDS));
-    learners.put(settings.name(), new DemandLearner(settings));
     return settings;
   }
 
@@ -177,7 +174,7 @@
     while (!onTheWay.isEmpty()
         && !onTheWay.peekFirst().at().plusSeconds(LAG_SECONDS).isAfter(fleet.now())) {
       DemandSample sample = onTheWay.removeFirst();
-      Objects.requireNonNull(learners.get(sample.service())).add(sample);
+      demand.add(sample);
     }
     spareHostSeconds +=
         view.hosts().values().stream().filter(this::isPoweredSpare).count();
@@ -199,19 +196,11 @@
     return spare && (host.condition() != HostCondition.OFF || host.activity().isPresent());
   }
 
-  private ImmutableMap<PoolName, PoolNeed> needs(Instant now) {
-    ImmutableMap<ServiceName, ServiceDemand> demands =
-        learners.values().stream()
-            .flatMap(learner -> learner.demand().stream())
-            .collect(toImmutableMap(ServiceDemand::service, demand -> demand));
-    return PoolNeed.of(configuration, demands, now);
-  }
-
   private FleetDecider maintenance() {
     return new MaintenanceDecider(
         new WavePlanner(MaintenanceSettings.DEFAULT),
         fleet.maintenance(),
-        this::needs,
+        demand::needs,
         new DecisionJournal(1));
   }
 
@@ -223,7 +212,7 @@
       case PLANNER ->
           new CapacityDecider(
               new CapacityPlanner(CapacitySettings.DEFAULT),
-              this::needs,
+              demand::needs,
               view -> WavePlanner.poolsDue(fleet.maintenance().status(), view),
               new DecisionJournal(1));
     };
