--- a/scenarios/src/main/java/org/verbenawheel/fleet/CapacityTrial.java
+++ b/scenarios/src/main/java/org/verbenawheel/fleet/CapacityTrial.java
@@ -1,16 +1,12 @@
 package org.verbenawheel.fleet;
 
-import static com.google.common.collect.ImmutableList.toImmutableList;
-
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Optional;
 import org.verbenawheel.capacity.CapacityDecider;
 import org.verbenawheel.capacity.CapacityPlanner;
 import org.verbenawheel.capacity.CapacitySettings;
@@ -30,7 +26,6 @@
 import org.verbenawheel.maintenance.MaintenanceSettings;
 import org.verbenawheel.maintenance.WavePlanner;
 import org.verbenawheel.pool.Activity;
-import org.verbenawheel.pool.ActivityId;
 import org.verbenawheel.pool.ActivityKind;
 import org.verbenawheel.pool.FleetDecider;
 import org.verbenawheel.pool.HostCondition;
@@ -59,7 +54,6 @@
   private static final double PEAK_OVER_MEAN = 5;
   private static final int OFFSET_SECONDS = 6;
   private static final double BUDGET = 0.001;
-  private static final double LONG_QUEUE_SECONDS = 1;
   private static final AvailabilityZone LOST_ZONE = new AvailabilityZone("zone-0");
 
   /** A way of powering spares. */
@@ -77,7 +71,7 @@
   private final Deployment deployment;
   private final Way way;
   private final FleetTrial fleet = new FleetTrial(new Phases());
-  private final Map<PoolName, ServiceTrace> traces = new HashMap<>();
+  private final Map<PoolName, ServiceTrace> traces = new LinkedHashMap<>();
   private final DemandBoard demand;
   private final Deque<DemandSample> onTheWay = new ArrayDeque<>();
   private final ImmutableList<FleetDecider> deciders;
@@ -97,8 +91,7 @@
     HostCondition spareCondition = way == Way.ALL_ON ? HostCondition.IN_SERVICE : HostCondition.OFF;
     fleet.addPool(sparePool(), PoolRole.SPARE, SPARE_HOSTS, ZONES, spareCondition);
     Configuration configuration =
-        new Configuration(
-            deployment.name(), services.buildOrThrow(), fleet.pools().view().pools());
+        new Configuration(deployment.name(), services.buildOrThrow(), fleet.pools().view().pools());
     this.demand = new DemandBoard(() -> new VersionedConfiguration(1, configuration));
     this.deciders = ImmutableList.of(maintenance(), counted(spares()));
   }
@@ -128,8 +121,7 @@
       passOneSecond(second);
       fleet.step(second % DECISION_SECONDS == 0 ? deciders : ImmutableList.of(), STEP);
     }
-    double worst =
-        traces.values().stream().mapToDouble(CapacityTrial::budgetSpent).max().orElse(0);
+    double worst = traces.values().stream().mapToDouble(CapacityTrial::budgetSpent).max().orElse(0);
     int maintained =
         (int)
             fleet.pools().view().hosts().values().stream()
@@ -139,8 +131,7 @@
   }
 
   private static double budgetSpent(ServiceTrace trace) {
-    double aWeek =
-        trace.offeredTotal() / TRIAL_SECONDS * DemandLearner.BUDGET_WINDOW.toSeconds();
+    double aWeek = trace.offeredTotal() / TRIAL_SECONDS * DemandLearner.BUDGET_WINDOW.toSeconds();
     return trace.unansweredTotal() / (BUDGET * aWeek);
   }
 
@@ -176,8 +167,7 @@
       DemandSample sample = onTheWay.removeFirst();
       demand.add(sample);
     }
-    spareHostSeconds +=
-        view.hosts().values().stream().filter(this::isPoweredSpare).count();
+    spareHostSeconds += view.hosts().values().stream().filter(this::isPoweredSpare).count();
   }
 
   private void passOneSecond(int second, ServiceTrace trace, ImmutableList<HostRecord> hosts) {
@@ -187,8 +177,7 @@
             .count();
     double refused = trace.pass(second, atWork * (double) trace.settings().slotsPerEndpoint());
     onTheWay.addLast(
-        new DemandSample(
-            trace.settings().name(), fleet.now(), trace.offeredAt(second), refused));
+        new DemandSample(trace.settings().name(), fleet.now(), trace.offeredAt(second), refused));
   }
 
   private boolean isPoweredSpare(HostRecord host) {
@@ -207,8 +196,8 @@
   private FleetDecider spares() {
     return switch (way) {
       case ALL_OFF -> (view, now) -> ImmutableList.of();
-      case ALL_ON -> (view, now) -> lendAllByTurns(view);
-      case QUEUE_LENGTH -> (view, now) -> followQueues(view);
+      case ALL_ON -> (view, now) -> NaiveSpares.lendAllByTurns(view, sparePool(), traces.keySet());
+      case QUEUE_LENGTH -> (view, now) -> NaiveSpares.followQueues(view, sparePool(), traces);
       case PLANNER ->
           new CapacityDecider(
               new CapacityPlanner(CapacitySettings.DEFAULT),
@@ -233,61 +222,6 @@
     }
   }
 
-  private ImmutableList<ControlCommand> lendAllByTurns(PoolView view) {
-    ImmutableList.Builder<ControlCommand> commands = ImmutableList.builder();
-    int turn = 0;
-    for (HostRecord host : view.hostsOf(sparePool())) {
-      PoolName pool = new PoolName(deployment.services().get(turn++ % traces.size()));
-      if (host.activity().isEmpty()) {
-        commands.add(start(host, ActivityKind.LEND, Optional.of(pool)));
-      }
-    }
-    return commands.build();
-  }
-
-  /** Powers a spare on for each long queue, lends it there, and takes it back when it is short. */
-  private ImmutableList<ControlCommand> followQueues(PoolView view) {
-    ImmutableList.Builder<ControlCommand> commands = ImmutableList.builder();
-    Deque<HostRecord> spares =
-        new ArrayDeque<>(
-            view.hostsOf(sparePool()).stream()
-                .filter(host -> host.activity().isEmpty())
-                .collect(toImmutableList()));
-    traces.forEach((pool, trace) -> followQueue(view.hostsOf(pool), pool, trace, spares, commands));
-    spares.stream()
-        .filter(host -> host.condition() == HostCondition.IN_SERVICE)
-        .forEach(host -> commands.add(start(host, ActivityKind.POWER_OFF, Optional.empty())));
-    return commands.build();
-  }
-
-  private static void followQueue(
-      ImmutableList<HostRecord> hosts,
-      PoolName pool,
-      ServiceTrace trace,
-      Deque<HostRecord> spares,
-      ImmutableList.Builder<ControlCommand> commands) {
-    double capacity = hosts.size() * (double) trace.settings().slotsPerEndpoint();
-    boolean isLong = trace.queueSlotSeconds() / capacity > LONG_QUEUE_SECONDS;
-    if (isLong && !spares.isEmpty()) {
-      HostRecord spare = spares.removeFirst();
-      commands.add(
-          spare.condition() == HostCondition.OFF
-              ? start(spare, ActivityKind.POWER_ON, Optional.empty())
-              : start(spare, ActivityKind.LEND, Optional.of(pool)));
-    } else if (!isLong) {
-      hosts.stream()
-          .filter(host -> host.lentFrom().isPresent() && host.activity().isEmpty())
-          .findFirst()
-          .ifPresent(host -> commands.add(start(host, ActivityKind.MOVE, host.lentFrom())));
-    }
-  }
-
-  private static ControlCommand start(
-      HostRecord host, ActivityKind kind, Optional<PoolName> target) {
-    ActivityId id = new ActivityId("naive-" + host.version());
-    return new StartActivity(host.host(), id, kind, target, host.version());
-  }
-
   /** Powering on takes four minutes, a reboot too, and a drain half a minute. */
   private record Phases() implements FleetTrial.PhaseModel {
     @Override
--- a/scenarios/src/main/java/org/verbenawheel/fleet/ServiceTrace.java
+++ b/scenarios/src/main/java/org/verbenawheel/fleet/ServiceTrace.java
@@ -53,8 +53,7 @@
    */
   double pass(long second, double capacitySlots) {
     double arrived = offeredAt(second);
-    double longestQueue =
-        capacitySlots * settings.deadlineMilliseconds() / MILLISECONDS_PER_SECOND;
+    double longestQueue = capacitySlots * settings.deadlineMilliseconds() / MILLISECONDS_PER_SECOND;
     double waiting = Math.max(0, queueSlotSeconds + arrived - capacitySlots);
     double refused = Math.max(0, waiting - longestQueue);
     queueSlotSeconds = waiting - refused;
