--- a/scenarios/src/main/java/org/verbenawheel/fleet/PlacementExperiment.java
+++ b/scenarios/src/main/java/org/verbenawheel/fleet/PlacementExperiment.java
@@ -183,8 +183,7 @@
     double total = (System.nanoTime() - start) / NANOSECONDS_PER_MILLISECOND;
     long naiveStart = System.nanoTime();
     for (int number = first + count - 1; number >= first; number--) {
-      JobId id = new JobId("job-" + number);
-      naive.removeIf(job -> job.id().equals(id));
+      removeNaively(naive, new JobId("job-" + number));
     }
     double naiveTotal = (System.nanoTime() - naiveStart) / NANOSECONDS_PER_MILLISECOND;
     if (print) {
@@ -192,4 +191,8 @@
           Locale.ROOT, "%9d %9.2f %8.2f %15.2f%n", count, total, total * 1_000 / count, naiveTotal);
     }
   }
+
+  private static void removeNaively(List<Job> jobs, JobId id) {
+    jobs.removeIf(job -> job.id().equals(id));
+  }
 }
