Power no spare for a pool that may hold no more hosts

Cause: a pool at its maximumHosts refuses a loan, and the planner would have powered a spare for it and asked again in each round. Measured: mvn -pl core package: 2,229 tests pass, none skipped; the new test fails without the change's bound on wanted hosts.

--- a/core/src/main/java/org/verbenawheel/capacity/PoolBalance.java
+++ b/core/src/main/java/org/verbenawheel/capacity/PoolBalance.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMultiset;
 import com.google.common.collect.Multiset;
 import java.time.Instant;
+import org.verbenawheel.configuration.PoolSettings;
 import org.verbenawheel.identity.AvailabilityZone;
 import org.verbenawheel.identity.PoolName;
 import org.verbenawheel.pool.Activity;
@@ -20,9 +21,15 @@
  * @param incoming how many hosts are on their way to it
  * @param forWave how many hosts more a maintenance wave wants, to find room
  * @param reserve how many hosts more it should have against the loss of an availability zone
+ * @param places how many hosts more its settings let it hold
  */
 record PoolBalance(
-    PoolNeed need, ImmutableList<HostRecord> atWork, int incoming, int forWave, int reserve) {
+    PoolNeed need,
+    ImmutableList<HostRecord> atWork,
+    int incoming,
+    int forWave,
+    int reserve,
+    int places) {
 
   /**
    * Weighs a pool. It wants a host for a wave that would find no room otherwise, and a reserve
@@ -46,7 +53,8 @@
     boolean waveWaits = maintenanceIsDue && need.budgetLeft() > 0 && !isWaveInProgress(hosts);
     boolean lossIsRecent = hosts.stream().anyMatch(host -> wasLostLately(host, settings, now));
     int reserve = lossIsRecent ? reserve(need, atWork, settings) : 0;
-    return new PoolBalance(need, atWork, incoming, waveWaits ? 1 : 0, reserve);
+    int places = maximumHosts(need.pool(), view) - hosts.size() - incoming;
+    return new PoolBalance(need, atWork, incoming, waveWaits ? 1 : 0, reserve, Math.max(0, places));
   }
 
   PoolName pool() {
@@ -63,6 +71,16 @@
     return beyondNeed() - forWave - reserve;
   }
 
+  /** Returns how many hosts it wants and may hold. */
+  int wanted() {
+    return Math.min(places, Math.max(0, -beyondTarget()));
+  }
+
+  private static int maximumHosts(PoolName pool, PoolView view) {
+    PoolSettings settings = view.pools().get(pool);
+    return settings == null ? 0 : settings.maximumHosts();
+  }
+
   private static boolean wasLostLately(HostRecord host, CapacitySettings settings, Instant now) {
     return host.lostAt().filter(at -> at.plus(settings.watchTime()).isAfter(now)).isPresent();
   }
@@ -99,7 +117,8 @@
   @Override
   public String toString() {
     return String.format(
-        "%s has %d hosts at work and %d incoming; needs %d, %d for a wave, %d in reserve",
-        need.pool(), atWork.size(), incoming, need.hosts(), forWave, reserve);
+        "%s has %d hosts at work and %d incoming; needs %d, %d for a wave, %d in reserve; may hold"
+            + " %d more",
+        need.pool(), atWork.size(), incoming, need.hosts(), forWave, reserve, places);
   }
 }
--- a/core/src/main/java/org/verbenawheel/capacity/WantedHost.java
+++ b/core/src/main/java/org/verbenawheel/capacity/WantedHost.java
@@ -40,8 +40,8 @@
   }
 
   private static Stream<WantedHost> of(PoolBalance balance) {
-    int missing = Math.max(0, -balance.beyondTarget());
-    int missingForNeed = Math.max(0, -balance.beyondNeed());
+    int missing = balance.wanted();
+    int missingForNeed = Math.min(missing, Math.max(0, -balance.beyondNeed()));
     int missingForWave = Math.min(balance.forWave(), missing - missingForNeed);
     return IntStream.range(0, missing)
         .mapToObj(
--- a/core/src/main/java/org/verbenawheel/placement/FreeResourceTree.java
+++ b/core/src/main/java/org/verbenawheel/placement/FreeResourceTree.java
@@ -24,7 +24,7 @@
     int node = leaves + worker;
     most[node] = free;
     for (node /= 2; node >= 1; node /= 2) {
-      most[node] = larger(most[node * 2], most[node * 2 + 1]);
+      most[node] = most[node * 2].largest(most[node * 2 + 1]);
     }
   }
 
@@ -47,11 +47,4 @@
     int left = search(node * 2, demand);
     return left >= 0 ? left : search(node * 2 + 1, demand);
   }
-
-  private static Resources larger(Resources one, Resources other) {
-    return new Resources(
-        Math.max(one.processors(), other.processors()),
-        Math.max(one.memoryMebibytes(), other.memoryMebibytes()),
-        Math.max(one.accelerators(), other.accelerators()));
-  }
 }
--- a/core/src/main/java/org/verbenawheel/placement/RunningJobs.java
+++ b/core/src/main/java/org/verbenawheel/placement/RunningJobs.java
@@ -87,14 +87,7 @@
                         run.worker(),
                         run.granted(),
                         leaseUntil,
-                        Optional.of(run.mostUsed().map(most -> larger(most, used)).orElse(used)))));
-  }
-
-  private static Resources larger(Resources one, Resources other) {
-    return new Resources(
-        Math.max(one.processors(), other.processors()),
-        Math.max(one.memoryMebibytes(), other.memoryMebibytes()),
-        Math.max(one.accelerators(), other.accelerators()));
+                        Optional.of(run.mostUsed().map(most -> most.largest(used)).orElse(used)))));
   }
 
   /** Counts a failed run and returns how many the job has had. */
--- a/core/src/main/java/org/verbenawheel/platform/Resources.java
+++ b/core/src/main/java/org/verbenawheel/platform/Resources.java
@@ -57,4 +57,16 @@
         Math.max(0, memoryMebibytes - other.memoryMebibytes),
         Math.max(0, accelerators - other.accelerators));
   }
+
+  /**
+   * Returns the larger count of each resource.
+   *
+   * @param other the counts to compare with
+   */
+  public Resources largest(Resources other) {
+    return new Resources(
+        Math.max(processors, other.processors),
+        Math.max(memoryMebibytes, other.memoryMebibytes),
+        Math.max(accelerators, other.accelerators));
+  }
 }
--- a/core/src/test/java/org/verbenawheel/capacity/CapacityPlannerTest.java
+++ b/core/src/test/java/org/verbenawheel/capacity/CapacityPlannerTest.java
@@ -133,6 +133,14 @@
     assertThat(plan(7, 8, BUDGET / 1_000)).isEmpty();
   }
 
+  @Test
+  void powersNoSpareForAPoolThatMayHoldNoMore() {
+    log.commit(new DefinePool(new PoolSettings(pool(0), PoolRole.SERVING, 0, HOSTS + 1), 2));
+    assertThat(plan(HOSTS + 3, 8)).hasSize(1);
+    log.commit(new DefinePool(new PoolSettings(pool(0), PoolRole.SERVING, 0, HOSTS), 3));
+    assertThat(plan(HOSTS + 3, 8)).isEmpty();
+  }
+
   @Test
   void leavesAPoolWithUnknownDemandAlone() {
     PoolNeed known = new PoolNeed(pool(1), 10, BUDGET);
