--- a/core/src/main/java/org/verbenawheel/capacity/DemandBoard.java
+++ b/core/src/main/java/org/verbenawheel/capacity/DemandBoard.java
@@ -21,6 +21,7 @@
  */
 public final class DemandBoard {
   private final Supplier<VersionedConfiguration> accepted;
+  private final DemandCombiner combiner = new DemandCombiner();
   private final Map<ServiceName, DemandLearner> learners = new HashMap<>();
 
   /**
@@ -32,6 +33,15 @@
     this.accepted = accepted;
   }
 
+  /**
+   * Takes what one entry saw in one second; it counts once the second is over for all entries.
+   *
+   * @param report the report
+   */
+  public synchronized void add(DemandReport report) {
+    combiner.add(report);
+  }
+
   /**
    * Takes a sample; one of a service that is not configured is ignored.
    *
@@ -49,6 +59,7 @@
    * @param now the present moment
    */
   public synchronized ImmutableMap<PoolName, PoolNeed> needs(Instant now) {
+    combiner.close(now).forEach(this::add);
     Configuration configuration = accepted.get().configuration();
     learners.keySet().retainAll(configuration.services().keySet());
     return PoolNeed.of(configuration, demands(configuration), now);
