--- a/command/src/main/java/org/verbenawheel/command/CallDecision.java
+++ b/command/src/main/java/org/verbenawheel/command/CallDecision.java
@@ -75,7 +75,8 @@
             : "; found " + body.found() + "; expected " + body.expected();
     String fix = body.fix() == null ? "" : body.fix();
     ExitCode exitCode = status == UNAUTHORIZED ? ExitCode.BAD_INPUT : ExitCode.REFUSED;
-    return new CommandFailedException(exitCode, body.error() + expectation, fix);
+    return new CommandFailedException(
+        exitCode, "HTTP status " + status + ": " + body.error() + expectation, fix);
   }
 
   private static ErrorBody parse(String body) {
--- a/command/src/main/java/org/verbenawheel/command/PoolMoveCommand.java
+++ b/command/src/main/java/org/verbenawheel/command/PoolMoveCommand.java
@@ -1,6 +1,8 @@
 package org.verbenawheel.command;
 
 import com.google.common.collect.ImmutableMap;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
@@ -11,10 +13,15 @@
 import org.verbenawheel.operator.OperatorReply;
 import org.verbenawheel.pool.Activity;
 import org.verbenawheel.pool.HostRecord;
+import org.verbenawheel.time.MonotonicInstantSource;
 
 /** Moves a host to another pool and, if asked, waits until it is there. */
 final class PoolMoveCommand implements Command {
+  private static final InstantSource CLOCK = MonotonicInstantSource.startingNow();
   private static final String WAIT = "wait";
+  private static final String WAIT_SECONDS = "wait-seconds";
+  private static final long DEFAULT_WAIT_SECONDS = 300;
+  private static final long MAXIMUM_WAIT_SECONDS = 86_400;
   private static final long PAUSE_MILLISECONDS = 500;
 
   @Override
@@ -27,7 +34,10 @@
                 Option.builder()
                     .longOpt(WAIT)
                     .desc("shows each phase and ends when the move has ended")
-                    .get()),
+                    .get())
+            .addOption(
+                GlobalOptions.valued(
+                    WAIT_SECONDS, "seconds", "how long --wait waits; 300 when not given")),
         "host",
         "pool");
   }
@@ -67,6 +77,9 @@
   private static void waitForEnd(
       CommandContext context, HostName name, PoolName target, CommandId commandId)
       throws CommandFailedException {
+    long seconds =
+        context.numberOption(WAIT_SECONDS, 1, MAXIMUM_WAIT_SECONDS).orElse(DEFAULT_WAIT_SECONDS);
+    Instant end = CLOCK.instant().plusSeconds(seconds);
     String shown = "";
     HostRecord host = Hosts.find(context.client(), name);
     while (isCurrent(host, commandId)) {
@@ -75,6 +88,13 @@
         context.output().note("host " + name + ": " + phase);
         shown = phase;
       }
+      if (CLOCK.instant().isAfter(end)) {
+        throw new CommandFailedException(
+            ExitCode.NOT_KNOWN,
+            "the move goes on; host " + name + " is still " + phase,
+            "see: verbenawheel host list; a control process without platformAddress switches no"
+                + " host");
+      }
       pause();
       host = Hosts.find(context.client(), name);
     }
--- a/command/src/test/java/org/verbenawheel/command/MainTest.java
+++ b/command/src/test/java/org/verbenawheel/command/MainTest.java
@@ -147,6 +147,19 @@
     run("pool", "move", "h-1", "extra", "--command-id", "m-1");
     assertThat(output()).contains("already done");
     assertThat(run("pool", "move", "h-1", "members-hub")).isEqualTo(ExitCode.REFUSED);
+    assertThat(
+            run(
+                "pool",
+                "move",
+                "h-1",
+                "extra",
+                "--command-id",
+                "m-1",
+                "--wait",
+                "--wait-seconds",
+                "1"))
+        .isEqualTo(ExitCode.NOT_KNOWN);
+    assertThat(errors()).contains("the move goes on; host h-1 is still REQUESTED");
     run("host", "list", "--pool", "hobart-desk");
     assertThat(output()).contains("MOVE REQUESTED");
     run("pool", "list", "--output", "json");
--- a/daemon/src/main/java/org/verbenawheel/settings/ControlSettingDefinitions.java
+++ b/daemon/src/main/java/org/verbenawheel/settings/ControlSettingDefinitions.java
@@ -66,10 +66,10 @@
   static final SettingDefinition ELECTION_TIMEOUT_MILLISECONDS =
       SettingDefinition.number(
           "electionTimeoutMilliseconds",
-          1_000,
+          2_000,
           50,
           30_000,
-          "A replica that hears no leader for this long stands for election; each adds a random part of up to the same length.");
+          "A replica that hears no leader for this long stands for election; the leader lease is four fifths of it, and below 1500 ms the controllers do not act; each adds a random part of up to the same length.");
 
   static final SettingDefinition REPLICATION_HEARTBEAT_MILLISECONDS =
       SettingDefinition.number(
