--- a/core/src/main/java/org/verbenawheel/dispatch/DispatchNode.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/DispatchNode.java
@@ -4,7 +4,6 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.time.Duration;
 import java.time.Instant;
@@ -13,8 +12,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.verbenawheel.admission.QueueOrder;
@@ -32,7 +29,6 @@
 import org.verbenawheel.routing.AttemptKey;
 import org.verbenawheel.routing.AttemptReport;
 import org.verbenawheel.supervision.FailureListener;
-import org.verbenawheel.supervision.PartFailedException;
 import org.verbenawheel.supervision.SupervisedPart;
 import org.verbenawheel.time.MonotonicInstantSource;
 
@@ -43,7 +39,7 @@
  * <p>One thread does it all: the decisions need no locks, and each takes microseconds.
  */
 public final class DispatchNode implements SupervisedPart, PeerHandler {
-  private static final long TICK_MILLISECONDS = 100;
+  private static final Duration TICK = Duration.ofMillis(100);
 
   private final MembershipSource membership;
   private final ConfigurationSource configuration;
@@ -51,10 +47,9 @@
   private final InstantSource clock;
   private final DecisionJournal journal;
   private final MetricRegistry metrics;
-  private final ScheduledExecutorService thread;
+  private final DispatchThread thread;
   private final EntryDispatch dispatch;
   private long configurationVersion = -1;
-  private volatile FailureListener failures = failure -> {};
   private @Nullable Future<?> ticks;
 
   private DispatchNode(Builder builder) {
@@ -64,7 +59,7 @@
     this.clock = builder.clock;
     this.journal = builder.journal;
     this.metrics = builder.metrics;
-    this.thread = builder.thread == null ? newThread() : builder.thread;
+    this.thread = new DispatchThread(builder.thread, this::carryOutEffects);
     this.dispatch =
         new EntryDispatch(builder.self, builder.clock.instant().toEpochMilli(), builder.order);
     registerGauges();
@@ -94,11 +89,9 @@
 
   @Override
   public void start(FailureListener listener) {
-    failures = listener;
+    thread.reportFailuresTo(listener);
     execute(() -> dispatch.onView(clock.instant(), membership.view()));
-    ticks =
-        thread.scheduleAtFixedRate(
-            () -> run(this::tick), 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+    ticks = thread.repeat(this::tick, TICK);
   }
 
   @Override
@@ -185,35 +178,17 @@
 
   /** Runs a task on the dispatch thread. */
   void execute(Runnable task) {
-    thread.execute(() -> run(task));
+    thread.execute(task);
   }
 
   /** Hands a result to an action on the dispatch thread. */
   <T> void whenDone(CompletableFuture<T> future, Consumer<T> action) {
-    var unused =
-        future.whenComplete((value, failure) -> execute(() -> handOn(value, failure, action)));
-  }
-
-  private static <T> void handOn(T value, @Nullable Throwable failure, Consumer<T> action) {
-    if (failure != null) {
-      throw new IllegalStateException("a port that never fails did", failure);
-    }
-    action.accept(value);
+    thread.whenDone(future, action);
   }
 
   /** Runs a task on the dispatch thread after a while. */
   Future<?> schedule(Runnable task, Duration delay) {
-    return thread.schedule(() -> run(task), delay.toNanos(), TimeUnit.NANOSECONDS);
-  }
-
-  private void run(Runnable task) {
-    try {
-      task.run();
-      carryOutEffects();
-    } catch (RuntimeException failure) {
-      failures.onFailure(
-          new PartFailedException("the dispatch thread failed; it is restarted", failure));
-    }
+    return thread.schedule(task, delay);
   }
 
   private void tick() {
@@ -246,14 +221,6 @@
     metrics.gauge(MetricRegistry.name("dispatch", "held"), () -> held);
   }
 
-  private static ScheduledExecutorService newThread() {
-    ScheduledThreadPoolExecutor thread =
-        new ScheduledThreadPoolExecutor(
-            1, new ThreadFactoryBuilder().setNameFormat("dispatch").setDaemon(true).build());
-    thread.setRemoveOnCancelPolicy(true);
-    return thread;
-  }
-
   /** Builds a node. */
   public static final class Builder {
     private static final int JOURNAL_CAPACITY = 1_024;
--- a/core/src/main/java/org/verbenawheel/dispatch/ServedRequest.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/ServedRequest.java
@@ -98,26 +98,11 @@
       onClaimGranted();
     } else if (outcome.isDone()) {
       return;
-    } else if (claimed instanceof ClaimOutcome.Answered answered) {
-      finish(answered.answer());
     } else if (claimed instanceof ClaimOutcome.Held) {
       phase = Phase.WAITING_FOR_FIRST;
       claimTimer = node.schedule(this::claimAgain, CLAIM_AGAIN_AFTER);
-    } else if (claimed instanceof ClaimOutcome.MayHaveRun) {
-      finish(
-          Refusal.mayHaveRun(
-              RefusalReason.KEY_IN_USE,
-              "a first request with this idempotency key may have run and its answer is lost;"
-                  + " look at the service for its effect before you use a new key"));
-    } else if (claimed instanceof ClaimOutcome.OtherRequest) {
-      finish(
-          Refusal.notRun(
-              RefusalReason.KEY_REUSED,
-              "this idempotency key was used with another request; make a new key"));
-    } else if (claimed instanceof ClaimOutcome.KeyOutsideWindow outside) {
-      finish(Refusal.notRun(RefusalReason.KEY_EXPIRED, outside.message()));
-    } else if (claimed instanceof ClaimOutcome.Unavailable unavailable) {
-      finish(Refusal.notRun(RefusalReason.NO_QUORUM, unavailable.message(), RETRY_AFTER));
+    } else {
+      finish(ClaimAnswers.of(claimed));
     }
   }
 
--- a/core/src/main/java/org/verbenawheel/dispatch/Takeover.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/Takeover.java
@@ -64,9 +64,4 @@
     Long known = registered.get(entry);
     return known != null && known == incarnation;
   }
-
-  /** Returns whether an entry is live and registered. */
-  boolean isRegistered(ProcessId entry) {
-    return registered.containsKey(entry);
-  }
 }
--- a/core/src/main/java/org/verbenawheel/routing/AttemptResult.java
+++ b/core/src/main/java/org/verbenawheel/routing/AttemptResult.java
@@ -10,8 +10,6 @@
   SERVICE_ERROR(true, false),
   /** The attempt ended without a whole answer. */
   FAILED(true, false),
-  /** The deadline passed first; the endpoint may still be running the request. */
-  TIMED_OUT(true, true),
   /** The whole answer came after the deadline, when nobody waited for it any more. */
   ANSWERED_LATE(false, true);
 
