--- a/core/src/test/java/org/verbenawheel/replication/FakeLinks.java
+++ b/core/src/test/java/org/verbenawheel/replication/FakeLinks.java
@@ -2,13 +2,13 @@
 
 import java.time.Duration;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.verbenawheel.codec.MalformedMessageException;
 import org.verbenawheel.codec.MessageCodec;
 import org.verbenawheel.identity.ProcessId;
@@ -24,6 +24,7 @@
   private final Map<ProcessId, ExecutorService> threads = new ConcurrentHashMap<>();
   private final Set<ProcessId> cutOff = ConcurrentHashMap.newKeySet();
   private final MessageCodec codec;
+  private final AtomicLong bytesSent = new AtomicLong();
   private volatile boolean losesAnswers;
 
   FakeLinks(MessageCodec codec) {
@@ -97,15 +98,17 @@
 
   private PeerMessage copy(PeerMessage message) {
     try {
-      return codec.decode(codec.encode(message));
+      byte[] bytes = codec.encode(message);
+      bytesSent.addAndGet(bytes.length);
+      return codec.decode(bytes);
     } catch (MalformedMessageException malformed) {
       throw new IllegalStateException(malformed);
     }
   }
 
-  /** Returns the handler of a process. */
-  Optional<PeerHandler> handlerOf(ProcessId process) {
-    return Optional.ofNullable(handlers.get(process));
+  /** Returns the encoded size of all messages and replies so far. */
+  long bytesSent() {
+    return bytesSent.get();
   }
 
   @Override
--- a/core/src/test/java/org/verbenawheel/replication/TestCluster.java
+++ b/core/src/test/java/org/verbenawheel/replication/TestCluster.java
@@ -34,6 +34,7 @@
   private final ImmutableList<ProcessId> voters;
   private final Path folder;
   private final int snapshotInterval;
+  private final boolean groupCommit;
   private final Map<ProcessId, ReplicaProcess> replicas = new LinkedHashMap<>();
   private final Map<ProcessId, AppendedList> lists = new LinkedHashMap<>();
   private final Map<ProcessId, Path> folders = new LinkedHashMap<>();
@@ -42,6 +43,11 @@
   private final RemoteCommandLog remote;
 
   TestCluster(Path folder, int size, int snapshotInterval) {
+    this(folder, size, snapshotInterval, true);
+  }
+
+  TestCluster(Path folder, int size, int snapshotInterval, boolean groupCommit) {
+    this.groupCommit = groupCommit;
     this.folder = folder;
     this.snapshotInterval = snapshotInterval;
     this.voters =
@@ -100,6 +106,7 @@
                 new ReplicationTimings(
                     Duration.ofMillis(50), Duration.ofMillis(500), Duration.ofMillis(400)))
             .snapshotInterval(snapshotInterval)
+            .groupCommit(groupCommit)
             .build();
     replicas.put(process, replica);
     lists.put(process, list);
