Test that a frozen or cut off leader decides nothing from its old term

A leader that was frozen past its lease refuses reads and commands at its first event, before it has heard of the new term, and answers that waited for it revive nothing. A leader cut off silently may decide at no moment at which another leads.

--- /dev/null
+++ b/core/src/test/java/org/verbenawheel/replication/ImmediateReplicas.java
@@ -0,0 +1,166 @@
+package org.verbenawheel.replication;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedSet;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.verbenawheel.identity.ProcessId;
+
+/**
+ * Three replicas whose messages and syncs take no time, driven by hand. A frozen one takes its
+ * messages only when it goes on; a cut off one never.
+ */
+final class ImmediateReplicas {
+  static final Duration TICK = Duration.ofMillis(10);
+
+  private final Map<ProcessId, Replica> replicas = new LinkedHashMap<>();
+  private final Map<ProcessId, List<Effect>> effects = new HashMap<>();
+  private final Map<ProcessId, Deque<Delivery>> waiting = new HashMap<>();
+  private final Set<ProcessId> frozen = new HashSet<>();
+  private final Set<ProcessId> cutOff = new HashSet<>();
+  private final Deque<Delivery> messages = new ArrayDeque<>();
+  private boolean syncs = true;
+  private Instant now = Instant.parse("2026-01-01T00:00:00Z");
+
+  ImmediateReplicas() {
+    ImmutableSortedSet<ProcessId> voters =
+        ImmutableSortedSet.of(
+            new ProcessId("control-1"), new ProcessId("control-2"), new ProcessId("control-3"));
+    for (ProcessId voter : voters) {
+      Member self = new Member(voter, ReplicaId.random());
+      Random random = new Random(voter.hashCode());
+      replicas.put(
+          voter, new Replica(self, voters, SeededNode.TIMINGS, random, RecoveredLog.EMPTY, now));
+      effects.put(voter, new ArrayList<>());
+      waiting.put(voter, new ArrayDeque<>());
+    }
+  }
+
+  Instant now() {
+    return now;
+  }
+
+  Replica replica(ProcessId process) {
+    return Objects.requireNonNull(replicas.get(process));
+  }
+
+  /** Returns the effects of a replica so far, but for messages. */
+  List<Effect> effectsOf(ProcessId process) {
+    return Objects.requireNonNull(effects.get(process));
+  }
+
+  ProcessId awaitLeader() {
+    for (int tick = 0; tick < 1_000; tick++) {
+      advance(TICK);
+      Optional<ProcessId> leader = leader();
+      if (leader.isPresent()) {
+        return leader.get();
+      }
+    }
+    throw new IllegalStateException("no leader");
+  }
+
+  /** Returns the process that leads and may decide, but for frozen ones. */
+  Optional<ProcessId> leader() {
+    return replicas.keySet().stream()
+        .filter(process -> !frozen.contains(process))
+        .filter(process -> replica(process).status().mayDecide(now))
+        .findFirst();
+  }
+
+  void advance(Duration duration) {
+    Instant end = now.plus(duration);
+    while (now.isBefore(end)) {
+      now = now.plus(TICK);
+      replicas.forEach(
+          (process, replica) -> {
+            if (!frozen.contains(process)) {
+              run(process, replica.onTick(now));
+            }
+          });
+      deliverAll();
+    }
+  }
+
+  void freeze(ProcessId process) {
+    frozen.add(process);
+  }
+
+  /** Lets a replica go on; what it was sent waits until {@link #deliverWaiting}. */
+  void thaw(ProcessId process) {
+    frozen.remove(process);
+  }
+
+  void deliverWaiting(ProcessId process) {
+    Deque<Delivery> deliveries = Objects.requireNonNull(waiting.get(process));
+    messages.addAll(deliveries);
+    deliveries.clear();
+    deliverAll();
+  }
+
+  void cutOff(ProcessId process) {
+    cutOff.add(process);
+  }
+
+  void reconnect(ProcessId process) {
+    cutOff.remove(process);
+  }
+
+  /** Sets whether disks sync. */
+  void setSyncs(boolean value) {
+    syncs = value;
+  }
+
+  Optional<ProposalOutcome.Position> propose(ProcessId process) {
+    ProposalOutcome outcome =
+        replica(process).propose(now, ImmutableList.of(Payload.of(new byte[] {1})));
+    run(process, outcome.effects());
+    deliverAll();
+    return outcome.position();
+  }
+
+  void read(ProcessId process, long token) {
+    run(process, replica(process).readIndex(now, token));
+    deliverAll();
+  }
+
+  void run(ProcessId process, ImmutableList<Effect> wanted) {
+    for (Effect effect : wanted) {
+      if (effect instanceof Effect.Send send) {
+        messages.add(new Delivery(process, send.to(), send.message()));
+        continue;
+      }
+      effectsOf(process).add(effect);
+      if (effect instanceof Effect.Durable durable && syncs) {
+        run(process, replica(process).onPersisted(now, durable.sequence()));
+      }
+    }
+  }
+
+  void deliverAll() {
+    while (!messages.isEmpty()) {
+      Delivery delivery = messages.remove();
+      if (frozen.contains(delivery.to())) {
+        Objects.requireNonNull(waiting.get(delivery.to())).add(delivery);
+      } else if (!cutOff.contains(delivery.from()) && !cutOff.contains(delivery.to())) {
+        run(
+            delivery.to(),
+            replica(delivery.to()).onMessage(now, delivery.from(), delivery.message()));
+      }
+    }
+  }
+
+  private record Delivery(ProcessId from, ProcessId to, ReplicationMessage message) {}
+}
