Answer 421 at a replica that does not lead

Cause: a command at a follower was answered 503 'no quorum decided in time', because the log fails it with its own exception; a sender then stopped at the first control address. Seen: scenarios waited 90 s for their first configuration whenever control-1 did not lead. Conclusion: the process asks its replica first whether it may decide.

--- a/daemon/src/main/java/org/verbenawheel/control/ControlProcess.java
+++ b/daemon/src/main/java/org/verbenawheel/control/ControlProcess.java
@@ -122,9 +122,11 @@
 
   @Override
   public CompletableFuture<CommandReply> submit(CommandEnvelope envelope) {
-    return draining
-        ? CompletableFuture.failedFuture(new NotLeaderException(Optional.empty()))
-        : replica.submitAsLeader(envelope);
+    if (draining || !replica.mayDecide()) {
+      return CompletableFuture.failedFuture(
+          new NotLeaderException(replica.status().flatMap(ReplicaStatus::leader)));
+    }
+    return replica.submitAsLeader(envelope);
   }
 
   @Override
--- a/scenarios/src/main/java/org/verbenawheel/fake/AnnouncingEndpoint.java
+++ b/scenarios/src/main/java/org/verbenawheel/fake/AnnouncingEndpoint.java
@@ -25,9 +25,9 @@
  * named, otherwise at the next entry of the list, as the platform's balancer would choose one.
  */
 public final class AnnouncingEndpoint implements AutoCloseable {
-  private static final Duration TIMEOUT = Duration.ofMillis(500);
+  private static final Duration TIMEOUT = Duration.ofMillis(300);
   private static final long WANTED_LEASE_MILLISECONDS = 10_000;
-  private static final long RETRY_MILLISECONDS = 200;
+  private static final long RETRY_MILLISECONDS = 10;
   private static final ObjectMapper JSON = MessageCodec.jsonMapper();
 
   private final EndpointRecord endpoint;
