Run the deciders on the leader and feed them the entries' demand

Cause: the deciders of maintenance and capacity stood in the library only; a running deployment decided nothing about hosts. Entries measure the work asked of each service (slots filled for a second, refused work by the mean run time) and send it to the control replicas each second. Weighed: latency against run time as the measure; latency grows with the queue and would ask for hosts that a burst does not need. Conclusion: spares and waves now follow the measured demand.

--- a/daemon/src/main/java/org/verbenawheel/control/ControlProcess.java
+++ b/daemon/src/main/java/org/verbenawheel/control/ControlProcess.java
@@ -22,14 +22,12 @@
 import org.verbenawheel.daemon.PartDumps;
 import org.verbenawheel.daemon.SecretFile;
 import org.verbenawheel.identity.ProcessId;
+import org.verbenawheel.maintenance.MaintenanceState;
+import org.verbenawheel.operator.MaintenanceReport;
 import org.verbenawheel.operator.PoolReport;
 import org.verbenawheel.operator.StatusReport;
 import org.verbenawheel.platform.Platform;
-import org.verbenawheel.platform.UsageBoard;
-import org.verbenawheel.pool.ActivityController;
-import org.verbenawheel.pool.ControllerPart;
 import org.verbenawheel.pool.HostRecord;
-import org.verbenawheel.pool.PoolDefinitions;
 import org.verbenawheel.pool.PoolState;
 import org.verbenawheel.replication.CommandEnvelope;
 import org.verbenawheel.replication.CommandReply;
@@ -46,7 +44,6 @@
 
 /** Puts the parts of one control process together: a replica, the controllers and operators. */
 final class ControlProcess implements OperatorService, DaemonState {
-  private static final Duration ROUND_INTERVAL = Duration.ofMillis(500);
   private static final int MAXIMUM_BODY_BYTES = 1 << 20;
 
   private final ControlSettings settings;
@@ -54,6 +51,8 @@
   private final MetricRegistry metrics = new MetricRegistry();
   private final ConfigurationState configuration = new ConfigurationState();
   private final PoolState pools = new PoolState();
+  private final MaintenanceState maintenance = new MaintenanceState();
+  private final FleetControllers controllers;
   private final PeerNode peers;
   private final ReplicaProcess replica;
   private final Supervisor root;
@@ -62,9 +61,12 @@
   ControlProcess(ControlSettings settings, InstantSource clock) throws PartFailedException {
     this.settings = settings;
     this.clock = clock;
+    this.controllers =
+        new FleetControllers(pools, maintenance, () -> configuration.history().current(), clock);
     this.peers = newPeers();
     this.replica = newReplica();
     peers.addHandler(replica);
+    peers.addHandler(controllers);
     peers.addHandler(new ConfigurationService(new StateAuthority(replica), configuration::history));
     this.root = newSupervisor();
   }
@@ -114,6 +116,11 @@
     return replica.read(() -> pools.view().hosts().values().asList());
   }
 
+  @Override
+  public CompletableFuture<MaintenanceReport> maintenance() {
+    return replica.read(controllers::maintenanceReport);
+  }
+
   @Override
   public CompletableFuture<ReplicaStatus> replicas() {
     Supplier<ReplicaStatus> present = () -> replica.status().orElseThrow();
@@ -146,6 +153,7 @@
         "availabilityZone", settings.availabilityZone(),
         "ready", ready(),
         "peers", peers.dump(),
+        "decisions", controllers.decisions(),
         "replica", PartDumps.orNoAnswer(replica.dump()));
   }
 
@@ -173,6 +181,7 @@
         .addPart(new ClaimState(ClaimPolicy.DEFAULT))
         .addPart(configuration)
         .addPart(pools)
+        .addPart(maintenance)
         .timings(
             timings(
                 Duration.ofMillis(settings.replicationHeartbeatMilliseconds()),
@@ -193,15 +202,6 @@
             .platformAddress()
             .<Platform>map(address -> new HttpPlatform(Addresses.text(address)))
             .orElseGet(NoPlatform::new);
-    ActivityController controller =
-        new ActivityController(
-            pools,
-            ImmutableList.of(new PoolDefinitions(() -> configuration.history().current())),
-            new LeaderLease(replica, clock),
-            replica,
-            platform,
-            new UsageBoard(),
-            clock);
     HttpServerPart http =
         new HttpServerPart(
             Addresses.text(settings.httpAddress()),
@@ -214,7 +214,7 @@
         .strategy(RestartStrategy.REST_FOR_ONE)
         .add(peers)
         .add(replica)
-        .add(new ControllerPart(controller, ROUND_INTERVAL))
+        .add(controllers.part(new LeaderLease(replica, clock), replica, platform))
         .add(http)
         .build();
   }
--- a/daemon/src/main/java/org/verbenawheel/control/OperatorController.java
+++ b/daemon/src/main/java/org/verbenawheel/control/OperatorController.java
@@ -72,6 +72,12 @@
     return read(operators.hosts());
   }
 
+  /** Returns how far maintenance has come and what would be done next. */
+  @Get("/maintenance")
+  public CompletableFuture<HttpResponse<?>> maintenance() {
+    return read(operators.maintenance());
+  }
+
   /** Returns the replicas of the log. */
   @Get("/replicas")
   public CompletableFuture<HttpResponse<?>> replicas() {
--- a/daemon/src/main/java/org/verbenawheel/control/OperatorService.java
+++ b/daemon/src/main/java/org/verbenawheel/control/OperatorService.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.verbenawheel.configuration.ConfigurationChange;
 import org.verbenawheel.configuration.VersionedConfiguration;
+import org.verbenawheel.operator.MaintenanceReport;
 import org.verbenawheel.operator.PoolReport;
 import org.verbenawheel.operator.StatusReport;
 import org.verbenawheel.pool.HostRecord;
@@ -31,6 +32,9 @@
   /** Returns the hosts by name. */
   CompletableFuture<ImmutableList<HostRecord>> hosts();
 
+  /** Returns how far maintenance has come and what would be done next. */
+  CompletableFuture<MaintenanceReport> maintenance();
+
   /** Returns what this replica knows of the members of the log. */
   CompletableFuture<ReplicaStatus> replicas();
 
--- a/daemon/src/main/java/org/verbenawheel/daemon/DaemonMessages.java
+++ b/daemon/src/main/java/org/verbenawheel/daemon/DaemonMessages.java
@@ -1,9 +1,11 @@
 package org.verbenawheel.daemon;
 
+import org.verbenawheel.capacity.CapacityMessages;
 import org.verbenawheel.claim.ClaimCommands;
 import org.verbenawheel.codec.MessageCodec;
 import org.verbenawheel.configuration.ConfigurationMessages;
 import org.verbenawheel.dispatch.DispatchMessages;
+import org.verbenawheel.maintenance.MaintenanceCommands;
 import org.verbenawheel.membership.MembershipMessages;
 import org.verbenawheel.peer.MessageKinds;
 import org.verbenawheel.pool.PoolCommands;
@@ -20,6 +22,8 @@
           .addAll(ConfigurationMessages.KINDS)
           .addAll(ClaimCommands.KINDS)
           .addAll(PoolCommands.KINDS)
+          .addAll(MaintenanceCommands.KINDS)
+          .addAll(CapacityMessages.KINDS)
           .build();
 
   /** Encodes and decodes all kinds. */
--- a/daemon/src/main/java/org/verbenawheel/entry/EntryProcess.java
+++ b/daemon/src/main/java/org/verbenawheel/entry/EntryProcess.java
@@ -60,6 +60,7 @@
   private final ConfigurationFollower configuration;
   private final EndpointHttpClients endpointClients;
   private final HttpEndpointClient endpointClient;
+  private final DemandReporter demand;
   private final DispatchNode dispatch;
   private final RequestPath requestPath;
   private final Supervisor root;
@@ -79,6 +80,9 @@
             Math.toIntExact(settings.maximumBodyBytes()));
     this.endpointClients = new EndpointHttpClients(limits);
     this.endpointClient = new HttpEndpointClient(endpointClients, limits, clock);
+    this.demand =
+        new DemandReporter(
+            settings.process(), endpointClient, settings.controls().keySet(), peers, clock);
     this.dispatch =
         DispatchNode.builder(settings.process(), membership, configuration, peers)
             .clock(clock)
@@ -87,9 +91,7 @@
             .build();
     this.requestPath =
         new RequestPath(
-            dispatch,
-            endpointClient,
-            new ReplicatedClaimRegister(settings.process(), newCommandLog()));
+            dispatch, demand, new ReplicatedClaimRegister(settings.process(), newCommandLog()));
     peers.addHandler(membership);
     peers.addHandler(dispatch);
     membership.addListener(endpointClient::onMembership);
@@ -135,7 +137,9 @@
               "this entry is stopping: send the request again to another entry",
               RETRY_AFTER_DRAIN));
     }
-    return requestPath.serve(request);
+    return requestPath
+        .serve(request)
+        .whenComplete((outcome, failure) -> demand.countOutcome(request, outcome));
   }
 
   @Override
@@ -232,6 +236,7 @@
         .add(configuration)
         .add(endpointClients)
         .add(endpointClient)
+        .add(demand)
         .add(dispatch)
         .add(http)
         .build();
