Count waiting commands instead of walking the queues at each submit

Cause: each submit asked two concurrent collections for their size, which walks them. Also splits ReplicaProcess and RunningReplica: Submissions and ProposalQueue.

--- a/core/src/main/java/org/verbenawheel/replication/PendingCommands.java
+++ b/core/src/main/java/org/verbenawheel/replication/PendingCommands.java
@@ -25,11 +25,6 @@
     }
   }
 
-  /** Returns how many commands wait. */
-  int size() {
-    return pending.size();
-  }
-
   /** Answers the command at an applied index. */
   void onApplied(LogEntry entry, CommandReply reply) {
     Pending command = pending.remove(entry.index());
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaProcess.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaProcess.java
@@ -19,8 +19,6 @@
 import org.verbenawheel.peer.PeerHandler;
 import org.verbenawheel.peer.PeerLinks;
 import org.verbenawheel.peer.PeerMessage;
-import org.verbenawheel.replication.SubmitMessage.CommandAccepted;
-import org.verbenawheel.replication.SubmitMessage.CommandRefused;
 import org.verbenawheel.replication.SubmitMessage.SubmitCommand;
 import org.verbenawheel.request.RunVerdict;
 import org.verbenawheel.storage.DataFolder;
@@ -37,9 +35,6 @@
  * does. Reads are answered only by the leader.
  */
 public final class ReplicaProcess implements SupervisedPart, CommandLog, PeerHandler {
-  /** The largest encoded command that is accepted. */
-  public static final int MAXIMUM_COMMAND_BYTES = 1024 * 1024;
-
   private final ReplicaSettings settings;
   private final InstantSource clock;
   private final PeerLinks links;
@@ -47,6 +42,7 @@
   private final StateMachine machine;
   private final FolderOpener folderOpener;
   private final Consumer<ReplicaStatus> statusListener;
+  private final Submissions submissions;
   private final RemoteCommandLog anyReplica;
   private volatile @Nullable RunningReplica running;
 
@@ -58,6 +54,7 @@
     this.folderOpener = builder.required(builder.folderOpener, "dataFolder");
     this.machine = new StateMachine(builder.parts.build(), codec);
     this.statusListener = builder.statusListener;
+    this.submissions = new Submissions(settings.self(), codec);
     this.anyReplica =
         RemoteCommandLog.builder()
             .replicas(settings.initialVoters())
@@ -132,32 +129,11 @@
    *     does not lead
    */
   public CompletableFuture<CommandReply> submitAsLeader(CommandEnvelope envelope) {
-    return submitEncoded(
+    return submissions.submit(
+        running,
         new SubmitCommand(envelope.commandId(), Payload.of(codec.encode(envelope.command()))));
   }
 
-  private CompletableFuture<CommandReply> submitEncoded(SubmitCommand command) {
-    CompletableFuture<CommandReply> reply = new CompletableFuture<>();
-    RunningReplica present = running;
-    if (present == null) {
-      reply.completeExceptionally(
-          new CommandNotCommittedException(RunVerdict.NOT_RUN, "this replica is not running"));
-      return reply;
-    }
-    if (command.command().length() > MAXIMUM_COMMAND_BYTES) {
-      reply.completeExceptionally(
-          new CommandNotCommittedException(
-              RunVerdict.NOT_RUN,
-              "the command has "
-                  + command.command().length()
-                  + " bytes; send at most "
-                  + MAXIMUM_COMMAND_BYTES));
-      return reply;
-    }
-    present.propose(CommandEncoding.encode(command.commandId(), command.command()), reply);
-    return reply;
-  }
-
   /**
    * Reads the state so that every change acknowledged before this call is seen.
    *
@@ -219,24 +195,12 @@
   @Override
   public Optional<CompletableFuture<PeerMessage>> onRequest(ProcessId from, PeerMessage message) {
     if (message instanceof SubmitCommand command) {
-      return Optional.of(submitEncoded(command).handle(this::answer));
+      Optional<ProcessId> leader = status().flatMap(ReplicaStatus::leader);
+      return Optional.of(submissions.answer(running, command, leader));
     }
     return Optional.empty();
   }
 
-  private PeerMessage answer(@Nullable CommandReply reply, @Nullable Throwable failure) {
-    if (reply != null) {
-      return new CommandAccepted(Payload.of(codec.encode(reply)));
-    }
-    RunVerdict verdict =
-        failure instanceof CommandNotCommittedException notCommitted
-            ? notCommitted.verdict()
-            : RunVerdict.MAY_HAVE_RUN;
-    Optional<ProcessId> leader =
-        status().flatMap(ReplicaStatus::leader).filter(known -> !known.equals(settings.self()));
-    return new CommandRefused(verdict, leader, String.valueOf(failure));
-  }
-
   /** Opens the data folder at each start. */
   @FunctionalInterface
   public interface FolderOpener {
--- a/core/src/main/java/org/verbenawheel/replication/RunningReplica.java
+++ b/core/src/main/java/org/verbenawheel/replication/RunningReplica.java
@@ -5,13 +5,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -26,7 +23,7 @@
 import org.verbenawheel.event.EventLine;
 import org.verbenawheel.identity.ProcessId;
 import org.verbenawheel.peer.PeerLinks;
-import org.verbenawheel.request.RunVerdict;
+import org.verbenawheel.replication.ProposalQueue.Proposal;
 import org.verbenawheel.storage.DataFolder;
 import org.verbenawheel.storage.StorageException;
 
@@ -37,7 +34,7 @@
 final class RunningReplica {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int TICKS_PER_HEARTBEAT = 4;
-  private static final int MAXIMUM_COMMANDS_WAITING = 20_000;
+  private static final String STOPPING = "the replica stops";
   private static final int MAXIMUM_COMMANDS_PER_PROPOSAL = 1_000;
   private static final long STOP_POLL_NANOSECONDS = 2_000_000;
 
@@ -47,7 +44,7 @@
   private final StateMachine machine;
   private final PendingCommands pending = new PendingCommands();
   private final PendingReads reads;
-  private final Queue<Proposal> proposals = new ConcurrentLinkedQueue<>();
+  private final ProposalQueue proposals = new ProposalQueue();
   private final AtomicBoolean proposalsScheduled = new AtomicBoolean();
   private final ScheduledExecutorService thread = Threads.scheduled("replica");
   private final StorageThread storage;
@@ -165,11 +162,11 @@
 
   /** Appends a command, if this replica leads. */
   void propose(Payload command, CompletableFuture<CommandReply> reply) {
-    if (stopping || proposals.size() + pending.size() >= MAXIMUM_COMMANDS_WAITING) {
-      refuse(reply, stopping ? "the replica stops" : "too many commands wait; try again later");
+    if (stopping) {
+      ProposalQueue.refuse(reply, STOPPING);
       return;
     }
-    proposals.add(new Proposal(command, reply));
+    proposals.add(command, reply);
     if (proposalsScheduled.compareAndSet(false, true)) {
       execute(this::proposeGathered);
     }
@@ -178,19 +175,13 @@
   private void proposeGathered() {
     proposalsScheduled.set(false);
     int maximum = settings.groupCommit() ? MAXIMUM_COMMANDS_PER_PROPOSAL : 1;
-    while (!proposals.isEmpty()) {
-      proposeBatch(nextProposals(maximum));
+    List<Proposal> batch = proposals.next(maximum);
+    while (!batch.isEmpty()) {
+      proposeBatch(batch);
+      batch = proposals.next(maximum);
     }
   }
 
-  private List<Proposal> nextProposals(int maximum) {
-    List<Proposal> batch = new ArrayList<>();
-    while (batch.size() < maximum && !proposals.isEmpty()) {
-      batch.add(proposals.remove());
-    }
-    return batch;
-  }
-
   private void proposeBatch(List<Proposal> batch) {
     Instant now = clock.instant();
     ProposalOutcome outcome = replica.propose(now, batch.stream().map(Proposal::command).toList());
@@ -202,15 +193,12 @@
         index++;
       }
     } else {
-      batch.forEach(proposal -> refuse(proposal.reply(), "this replica does not lead"));
+      batch.forEach(
+          proposal -> ProposalQueue.refuse(proposal.reply(), "this replica does not lead"));
     }
     effects.run(outcome.effects());
   }
 
-  private static void refuse(CompletableFuture<CommandReply> reply, String message) {
-    reply.completeExceptionally(new CommandNotCommittedException(RunVerdict.NOT_RUN, message));
-  }
-
   /** Reads the state as of now, if this replica leads. */
   <T> void read(Supplier<T> query, CompletableFuture<T> result) {
     long token = reads.add(query, result);
@@ -239,7 +227,7 @@
 
   /** Returns how many commands wait for their commit. */
   int pendingCommands() {
-    return pending.size();
+    return proposals.waiting();
   }
 
   /** Returns how many first replies are remembered. */
@@ -274,13 +262,14 @@
     storage.stop();
     pending.stop();
     reads.stop();
-    nextProposals(Integer.MAX_VALUE)
-        .forEach(proposal -> refuse(proposal.reply(), "the replica stops"));
+    proposals
+        .next(Integer.MAX_VALUE)
+        .forEach(proposal -> ProposalQueue.refuse(proposal.reply(), STOPPING));
   }
 
   private void waitForPending(Duration grace) {
     long end = System.nanoTime() + grace.toNanos();
-    while (pending.size() > 0 && System.nanoTime() < end) {
+    while (proposals.waiting() > 0 && System.nanoTime() < end) {
       LockSupport.parkNanos(STOP_POLL_NANOSECONDS);
     }
   }
@@ -305,6 +294,4 @@
       Thread.currentThread().interrupt();
     }
   }
-
-  private record Proposal(Payload command, CompletableFuture<CommandReply> reply) {}
 }
