Dispatch again after the dispatch node was stopped and started

Cause: a stopped node forgot its dispatchers but not that it was elected, so after a restart by its supervisor it granted nothing; and it went on taking views while it was stopped. Before: RequestPathTest.servesAgainAfterItsDispatcherWasRestarted failed with a refusal.

--- a/core/src/main/java/org/verbenawheel/dispatch/DispatchNode.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/DispatchNode.java
@@ -23,6 +23,7 @@
 import org.verbenawheel.identity.ProcessId;
 import org.verbenawheel.identity.ServiceName;
 import org.verbenawheel.membership.MembershipSource;
+import org.verbenawheel.membership.MembershipView;
 import org.verbenawheel.peer.PeerHandler;
 import org.verbenawheel.peer.PeerLinks;
 import org.verbenawheel.peer.PeerMessage;
@@ -50,6 +51,7 @@
   private final DispatchThread thread;
   private final EntryDispatch dispatch;
   private long configurationVersion = -1;
+  private volatile boolean started;
   private @Nullable Future<?> ticks;
 
   private DispatchNode(Builder builder) {
@@ -63,7 +65,7 @@
     this.dispatch =
         new EntryDispatch(builder.self, builder.clock.instant().toEpochMilli(), builder.order);
     registerGauges();
-    membership.addListener(view -> execute(() -> dispatch.onView(clock.instant(), view)));
+    membership.addListener(view -> execute(() -> takeView(view)));
   }
 
   /**
@@ -90,7 +92,8 @@
   @Override
   public void start(FailureListener listener) {
     thread.reportFailuresTo(listener);
-    execute(() -> dispatch.onView(clock.instant(), membership.view()));
+    started = true;
+    execute(() -> takeView(membership.view()));
     ticks = thread.repeat(this::tick, TICK);
   }
 
@@ -102,6 +105,7 @@
     }
     running.cancel(false);
     ticks = null;
+    started = false;
     execute(() -> dispatch.handOverAll(clock.instant()));
   }
 
@@ -191,6 +195,13 @@
     return thread.schedule(task, delay);
   }
 
+  /** A stopped node dispatches nothing, whatever the view says. */
+  private void takeView(MembershipView view) {
+    if (started) {
+      dispatch.onView(clock.instant(), view);
+    }
+  }
+
   private void tick() {
     readConfiguration();
     dispatch.onTick(clock.instant());
--- a/core/src/main/java/org/verbenawheel/dispatch/EntryDispatch.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/EntryDispatch.java
@@ -138,6 +138,7 @@
                 .findFirst()
                 .ifPresent(next -> handOver(now, service, dispatcher, next)));
     dispatchers.clear();
+    elected.clear();
   }
 
   /** Returns what to carry out since the last call, in order. */
--- a/core/src/main/java/org/verbenawheel/dispatch/ServedRequest.java
+++ b/core/src/main/java/org/verbenawheel/dispatch/ServedRequest.java
@@ -100,7 +100,7 @@
       return;
     } else if (claimed instanceof ClaimOutcome.Held) {
       phase = Phase.WAITING_FOR_FIRST;
-      claimTimer = node.schedule(this::claimAgain, CLAIM_AGAIN_AFTER);
+      claimTimer = node.schedule(this::claim, CLAIM_AGAIN_AFTER);
     } else {
       finish(ClaimAnswers.of(claimed));
     }
@@ -114,12 +114,6 @@
     askForSlot();
   }
 
-  private void claimAgain() {
-    if (!outcome.isDone()) {
-      claim();
-    }
-  }
-
   private void askForSlot() {
     phase = Phase.WAITING_FOR_SLOT;
     attempts++;
--- a/core/src/test/java/org/verbenawheel/dispatch/RequestPathTest.java
+++ b/core/src/test/java/org/verbenawheel/dispatch/RequestPathTest.java
@@ -146,6 +146,19 @@
     assertThat(deployment.claims.stateOf(key)).isInstanceOf(ClaimOutcome.Answered.class);
   }
 
+  @Test
+  void servesAgainAfterItsDispatcherWasRestarted() {
+    DispatchNode dispatcher = deployment.entry(deployment.dispatcherIndex()).node;
+    dispatcher.stop(Duration.ZERO);
+    deployment.time.pass(Duration.ofSeconds(1));
+    dispatcher.start(
+        failure -> {
+          throw new AssertionError(failure);
+        });
+    deployment.time.pass(Duration.ofSeconds(1));
+    assertThat(serve(0, "/quote?run=20")).isInstanceOf(CallerAnswer.class);
+  }
+
   @Test
   void drainsWhenNoRequestIsInFlight() {
     var unused = deployment.entry(0).serve(deployment.request("/quote?run=100", DEADLINE));
