--- a/core/src/main/java/org/verbenawheel/membership/EndpointMembership.java
+++ b/core/src/main/java/org/verbenawheel/membership/EndpointMembership.java
@@ -1,8 +1,6 @@
 package org.verbenawheel.membership;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -38,12 +36,11 @@
   private final DepartedEndpoints departed;
   private final SentStamps stamps;
   private final LeaseDesk leaseDesk;
+  private final ViewKeeper views;
   private final List<OutgoingMessage> messages = new ArrayList<>();
   private final List<EndpointChange> changes = new ArrayList<>();
   private final Map<ProcessId, Long> echoes = new TreeMap<>();
   private Instant nextHeartbeatAt;
-  private MembershipView view = MembershipView.EMPTY;
-  private Instant viewValidUntil = Instant.MIN;
 
   EndpointMembership(MembershipIdentity identity, MembershipTimings timings, Instant startedAt) {
     this.identity = identity;
@@ -53,6 +50,7 @@
         new DepartedEndpoints(MembershipTimings.LEAVE_BOUND.multipliedBy(DEPARTURE_MEMORY_BOUNDS));
     this.stamps = new SentStamps(identity.firstStamp(), timings.vouch());
     this.leaseDesk = new LeaseDesk(identity, timings, startedAt, own, peers, departed);
+    this.views = new ViewKeeper(identity.self(), own, peers, departed);
     this.nextHeartbeatAt = startedAt;
   }
 
@@ -78,7 +76,7 @@
     AnnounceReply reply =
         leaseDesk.answer(announcement, newestIncarnation(announcement.endpoint().id(), now), now);
     if (own.version() != before) {
-      invalidateView();
+      views.invalidate();
       changes.add(new EndpointChange(Event.ENDPOINT_JOINED, announcement.endpoint().id()));
     }
     return reply;
@@ -109,7 +107,7 @@
       spreadChanges();
     } else if (message instanceof EntryStopping stopping) {
       peers.of(from, stopping.incarnation()).stopping();
-      invalidateView();
+      views.invalidate();
     }
   }
 
@@ -138,7 +136,7 @@
   void beginStop() {
     leaseDesk.beginStop();
     tellAll(new EntryStopping(identity.incarnation()));
-    invalidateView();
+    views.invalidate();
   }
 
   /** Returns how many endpoints have their home here. */
@@ -157,22 +155,15 @@
 
   /** Returns what may be relied on at this instant. */
   MembershipView view(Instant now) {
-    if (now.isBefore(viewValidUntil)) {
-      return view;
+    if (views.isStale(now)) {
+      expire(now);
     }
-    expire(now);
-    MembershipView present = new MembershipView(view.version(), endpoints(now), entries(now));
-    if (!present.equals(view)) {
-      view = new MembershipView(view.version() + 1, present.endpoints(), present.liveEntries());
-    }
-    Instant othersEnd = peers.earliestEnd(now).orElse(Instant.MAX);
-    viewValidUntil = own.earliestEnd().isBefore(othersEnd) ? own.earliestEnd() : othersEnd;
-    return view;
+    return views.view(now);
   }
 
   /** Returns whether the view must be made anew. */
   boolean viewIsStale() {
-    return viewValidUntil.equals(Instant.MIN);
+    return views.isInvalidated();
   }
 
   /** Returns the state for a person. */
@@ -201,7 +192,7 @@
   private void onDelta(ProcessId from, SectionDelta delta, Instant now) {
     PeerSection section = peers.of(from, delta.incarnation());
     if (section.apply(delta)) {
-      invalidateView();
+      views.invalidate();
     } else {
       query(from, delta.incarnation(), section, now);
     }
@@ -226,7 +217,7 @@
     PeerSection section = peers.of(from, answer.incarnation());
     section.apply(answer);
     vouch(section, answer.echo(), answer.version(), answer.digest());
-    invalidateView();
+    views.invalidate();
   }
 
   private void query(ProcessId home, long homeIncarnation, PeerSection section, Instant now) {
@@ -246,7 +237,7 @@
     section.alive(sentAt);
     section.vouch(version, digest, sentAt);
     if (!wasTrusted || !wasAlive) {
-      invalidateView();
+      views.invalidate();
     }
   }
 
@@ -260,7 +251,7 @@
     if (leaves) {
       own.drop(id);
     }
-    invalidateView();
+    views.invalidate();
     return news;
   }
 
@@ -269,7 +260,7 @@
     peers.expire(now);
     for (EndpointId ended : own.expire(now)) {
       changes.add(new EndpointChange(Event.ENDPOINT_EXPIRED, ended));
-      invalidateView();
+      views.invalidate();
     }
   }
 
@@ -283,34 +274,6 @@
         .orElse(Long.MIN_VALUE);
   }
 
-  private ImmutableMap<EndpointId, EndpointRecord> endpoints(Instant now) {
-    Map<EndpointId, HeldEndpoint> newest = new TreeMap<>();
-    collectNewest(own.contents(), newest);
-    peers.trusted(now).forEach(section -> collectNewest(section.contents(), newest));
-    ImmutableMap.Builder<EndpointId, EndpointRecord> endpoints = ImmutableMap.builder();
-    newest.forEach((id, held) -> endpoints.put(id, held.endpoint()));
-    return endpoints.buildOrThrow();
-  }
-
-  private void collectNewest(SectionContents contents, Map<EndpointId, HeldEndpoint> newest) {
-    for (HeldEndpoint held : contents.all()) {
-      if (!departed.has(held.id(), held.endpoint().incarnation())) {
-        newest.merge(
-            held.id(),
-            held,
-            (one, other) -> HeldEndpoint.BY_AGE.compare(one, other) >= 0 ? one : other);
-      }
-    }
-  }
-
-  private ImmutableSet<ProcessId> entries(Instant now) {
-    return ImmutableSet.<ProcessId>builder().add(identity.self()).addAll(peers.live(now)).build();
-  }
-
-  private void invalidateView() {
-    viewValidUntil = Instant.MIN;
-  }
-
   private void tellAll(PeerMessage message) {
     identity.others().forEach(other -> tell(other, message));
   }
