State the bounds of the membership timings once and test them

Cause: the time an endpoint needs to move stood twice, and a full list of copies forgot one even when nothing was added.

--- a/core/src/main/java/org/verbenawheel/membership/MembershipTimings.java
+++ b/core/src/main/java/org/verbenawheel/membership/MembershipTimings.java
@@ -47,18 +47,13 @@
    *     endpoint whose home entry died could not move in time
    */
   public MembershipTimings {
-    Duration worstLeave = lease.plus(vouch).plus(tick);
+    Duration worstLeave = worstLeave(lease, vouch, tick);
     checkArgument(
         worstLeave.compareTo(LEAVE_BOUND) < 0,
         "lease, vouch and tick together must stay below %s but are %s",
         LEAVE_BOUND,
         worstLeave);
-    Duration worstMove =
-        heartbeat
-            .multipliedBy(HEARTBEATS_PER_ECHO)
-            .plus(lease.dividedBy(RENEWALS_PER_LEASE))
-            .plus(forward)
-            .plus(tick.multipliedBy(2));
+    Duration worstMove = worstMove(lease, heartbeat, tick, forward);
     checkArgument(
         worstMove.compareTo(vouch) < 0,
         "an endpoint needs up to %s to move to another entry, so vouch must be longer than %s",
@@ -68,22 +63,32 @@
 
   /** Returns the longest time from an endpoint's word to the last new work, by these timings. */
   public Duration worstLeave() {
-    return lease.plus(vouch).plus(tick);
+    return worstLeave(lease, vouch, tick);
   }
 
   /** Returns how long an endpoint may wait for its home entry before it must try another. */
   public Duration endpointPatience() {
-    Duration spoken =
-        heartbeat
-            .multipliedBy(HEARTBEATS_PER_ECHO)
-            .plus(renewalInterval(lease))
-            .plus(forward)
-            .plus(tick.multipliedBy(2));
-    return vouch.minus(spoken);
+    return vouch.minus(worstMove(lease, heartbeat, tick, forward));
   }
 
   /** Returns how long after a renewal the next is due. */
   static Duration renewalInterval(Duration lease) {
     return lease.dividedBy(RENEWALS_PER_LEASE);
   }
+
+  private static Duration worstLeave(Duration lease, Duration vouch, Duration tick) {
+    return lease.plus(vouch).plus(tick);
+  }
+
+  /**
+   * Returns how much of the vouch passes before an endpoint's new home entry is known everywhere.
+   */
+  private static Duration worstMove(
+      Duration lease, Duration heartbeat, Duration tick, Duration forward) {
+    return heartbeat
+        .multipliedBy(HEARTBEATS_PER_ECHO)
+        .plus(renewalInterval(lease))
+        .plus(forward)
+        .plus(tick.multipliedBy(2));
+  }
 }
--- a/core/src/main/java/org/verbenawheel/membership/PeerSections.java
+++ b/core/src/main/java/org/verbenawheel/membership/PeerSections.java
@@ -38,10 +38,11 @@
 
   /** Returns the copy for one process of an entry; an empty one if it was never heard of. */
   PeerSection of(ProcessId entry, long incarnation) {
-    if (sections.size() >= MAXIMUM_SECTIONS) {
+    Key key = new Key(entry, incarnation);
+    if (!sections.containsKey(key) && sections.size() >= MAXIMUM_SECTIONS) {
       sections.remove(sections.keySet().iterator().next());
     }
-    return sections.computeIfAbsent(new Key(entry, incarnation), unknown -> new PeerSection());
+    return sections.computeIfAbsent(key, unknown -> new PeerSection());
   }
 
   /** Returns all copies that may be trusted now. */
