Command line: leave the maintenance commands out, as no process serves them

The control process holds no MaintenanceState and its message kinds lack those of maintenance, so the commands could only fail; a command without a server side is not kept as a stub.

--- a/command/src/main/java/org/verbenawheel/command/CommandCatalog.java
+++ b/command/src/main/java/org/verbenawheel/command/CommandCatalog.java
@@ -28,11 +28,6 @@
             new HostListCommand(),
             new HostRegisterCommand(),
             new HostRetireCommand(),
-            new MaintenancePlanCommand(),
-            new MaintenanceStatusCommand(),
-            new MaintenanceChangeCommand(MaintenanceChange.START),
-            new MaintenanceChangeCommand(MaintenanceChange.HALT),
-            new MaintenanceChangeCommand(MaintenanceChange.RESUME),
             new ReplicaListCommand(),
             new QuestionnaireCommand(),
             new DumpCommand()));
