--- a/core/src/main/java/org/verbenawheel/admission/RunTimeSketch.java
+++ b/core/src/main/java/org/verbenawheel/admission/RunTimeSketch.java
@@ -10,23 +10,43 @@
  */
 public final class RunTimeSketch {
   private static final double WEIGHT_OF_NEWEST = 0.05;
+  private static final double DEVIATIONS = 2;
+  private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
 
   private double longShare;
   private double meanMilliseconds;
+  private double deviationMilliseconds;
+  private Duration longest = Duration.ZERO;
+  private long classified;
   private long runs;
 
   /**
-   * Adds a run.
+   * Adds a run that has passed the limit for short work, and has not ended yet.
+   *
+   * <p>Waiting for its end would let many more of its kind start as short in the meantime.
+   */
+  public void addOverrun() {
+    classified++;
+    longShare += weightOf(classified) * (1 - longShare);
+  }
+
+  /** Adds a run that ended within the limit for short work. */
+  public void addWithinLimit() {
+    classified++;
+    longShare -= weightOf(classified) * longShare;
+  }
+
+  /**
+   * Adds the time of a run that ended.
    *
    * @param runTime how long it ran
-   * @param shortWorkLimit how long short work may run
    */
-  public void add(Duration runTime, Duration shortWorkLimit) {
+  public void addRunTime(Duration runTime) {
     runs++;
-    double weight = Math.max(WEIGHT_OF_NEWEST, 1.0 / runs);
-    double isLong = runTime.compareTo(shortWorkLimit) > 0 ? 1 : 0;
-    longShare += weight * (isLong - longShare);
-    meanMilliseconds += weight * (runTime.toNanos() / 1e6 - meanMilliseconds);
+    longest = runTime.compareTo(longest) > 0 ? runTime : longest;
+    double difference = runTime.toNanos() / NANOSECONDS_PER_MILLISECOND - meanMilliseconds;
+    meanMilliseconds += weightOf(runs) * difference;
+    deviationMilliseconds += weightOf(runs) * (Math.abs(difference) - deviationMilliseconds);
   }
 
   /** Returns the share of runs past the limit, from 0 to 1; 0 if none is known. */
@@ -36,6 +56,27 @@
 
   /** Returns the mean run time; zero if none is known. */
   public Duration mean() {
-    return Duration.ofNanos((long) (meanMilliseconds * 1e6));
+    return ofMilliseconds(meanMilliseconds);
+  }
+
+  /**
+   * Returns a time within which most runs end: the mean and twice the mean deviation, as RFC 6298
+   * bounds a round trip; zero if none is known.
+   */
+  public Duration likelyLongest() {
+    return ofMilliseconds(meanMilliseconds + DEVIATIONS * deviationMilliseconds);
+  }
+
+  /** Returns the longest run known; zero if none is. */
+  public Duration longest() {
+    return longest;
+  }
+
+  private static Duration ofMilliseconds(double milliseconds) {
+    return Duration.ofNanos((long) (milliseconds * NANOSECONDS_PER_MILLISECOND));
+  }
+
+  private static double weightOf(long count) {
+    return Math.max(WEIGHT_OF_NEWEST, 1.0 / count);
   }
 }
--- a/core/src/main/java/org/verbenawheel/pool/HostActivities.java
+++ b/core/src/main/java/org/verbenawheel/pool/HostActivities.java
@@ -103,7 +103,7 @@
     return changed(
         host.toBuilder()
             .activityEnded()
-            .condition(HostCondition.LOST)
+            .lost(context.stateTime())
             .lastFailure(failure(host, command)));
   }
 
@@ -117,12 +117,14 @@
     if (host.activity().isPresent()) {
       return Refusals.hostBusy(host);
     }
-    return changed(host.toBuilder().condition(command.condition()));
+    HostRecord.Builder reported = host.toBuilder().condition(command.condition());
+    return changed(
+        command.condition() == HostCondition.LOST ? reported.lost(context.stateTime()) : reported);
   }
 
   private Optional<PoolReply.Refused> refuseStart(HostRecord host, StartActivity command) {
     return switch (command.kind()) {
-      case MOVE -> refuseMove(host, command);
+      case MOVE, LEND -> refuseMove(host, command);
       case MAINTAIN, POWER_OFF -> refuseUnless(host, HostCondition.IN_SERVICE);
       case POWER_ON -> refuseUnless(host, HostCondition.OFF);
     };
--- a/core/src/main/java/org/verbenawheel/routing/SlotLedger.java
+++ b/core/src/main/java/org/verbenawheel/routing/SlotLedger.java
@@ -29,7 +29,7 @@
 
   private final Map<AttemptKey, SlotLease> leases = new HashMap<>();
   private final TreeSet<SlotLease> byExpiry = new TreeSet<>(BY_EXPIRY);
-  private final Deque<SlotLease> notYetLong = new ArrayDeque<>();
+  private final Deque<SlotLease> runningWithinLimit = new ArrayDeque<>();
   private final Set<AttemptKey> longKeys = new HashSet<>();
   private final Multiset<EndpointId> held = HashMultiset.create();
   private final Multiset<EndpointId> heldByLongWork = HashMultiset.create();
@@ -45,10 +45,9 @@
     leases.put(lease.key(), lease);
     byExpiry.add(lease);
     held.add(lease.endpoint());
+    runningWithinLimit.addLast(lease);
     if (isLong) {
       countAsLong(lease);
-    } else {
-      notYetLong.addLast(lease);
     }
   }
 
@@ -71,6 +70,22 @@
     return Optional.of(lease);
   }
 
+  /**
+   * Makes a lease expire sooner; one that expires sooner already is left.
+   *
+   * @param lease the lease
+   * @param expiresAt when the slot counts as free though nobody said so
+   */
+  public void shorten(SlotLease lease, Instant expiresAt) {
+    if (!isStillHeld(lease) || !expiresAt.isBefore(lease.expiresAt())) {
+      return;
+    }
+    SlotLease shorter = lease.expiringAt(expiresAt);
+    byExpiry.remove(lease);
+    byExpiry.add(shorter);
+    leases.put(lease.key(), shorter);
+  }
+
   /**
    * Frees every slot whose lease matches.
    *
@@ -103,15 +118,20 @@
    *
    * @param now the present moment
    * @param shortWorkLimit how long short work may run
+   * @return the leases that have run past the limit since the last call
    */
-  public void countOverrunsAsLong(Instant now, Duration shortWorkLimit) {
+  public ImmutableList<SlotLease> countOverrunsAsLong(Instant now, Duration shortWorkLimit) {
+    ImmutableList.Builder<SlotLease> overruns = ImmutableList.builder();
     Instant newestOverrun = now.minus(shortWorkLimit);
-    while (!notYetLong.isEmpty() && notYetLong.getFirst().grantedAt().isBefore(newestOverrun)) {
-      SlotLease lease = notYetLong.removeFirst();
-      if (lease.equals(leases.get(lease.key()))) {
+    while (!runningWithinLimit.isEmpty()
+        && runningWithinLimit.getFirst().grantedAt().isBefore(newestOverrun)) {
+      SlotLease lease = runningWithinLimit.removeFirst();
+      if (isStillHeld(lease)) {
         countAsLong(lease);
+        overruns.add(lease);
       }
     }
+    return overruns.build();
   }
 
   /**
@@ -156,8 +176,14 @@
     return ImmutableList.copyOf(leases.values());
   }
 
+  private boolean isStillHeld(SlotLease lease) {
+    SlotLease present = leases.get(lease.key());
+    return present != null && present.grantedAt().equals(lease.grantedAt());
+  }
+
   private void countAsLong(SlotLease lease) {
-    longKeys.add(lease.key());
-    heldByLongWork.add(lease.endpoint());
+    if (longKeys.add(lease.key())) {
+      heldByLongWork.add(lease.endpoint());
+    }
   }
 }
--- a/core/src/test/java/org/verbenawheel/dispatch/RequestPathTest.java
+++ b/core/src/test/java/org/verbenawheel/dispatch/RequestPathTest.java
@@ -23,7 +23,8 @@
 final class RequestPathTest {
   private static final Duration DEADLINE = Duration.ofSeconds(5);
 
-  private final TestDeployment deployment = new TestDeployment(1, 3, 2, QueueOrder.FIRST_COME);
+  private final TestDeployment deployment =
+      new TestDeployment(1, 3, 2, QueueOrder.EARLIEST_DEADLINE);
 
   @Test
   void answersThroughEveryEntry() {
@@ -131,7 +132,7 @@
     assertThat(next.isDone()).isFalse();
     deployment.time.pass(Duration.ofMillis(500));
     assertThat(next.join()).isInstanceOf(CallerAnswer.class);
-    assertThat(deployment.endpoints.mostRunning()).isEqualTo(TestDeployment.SLOTS);
+    assertThat(deployment.endpoints.mostHeld()).isEqualTo(TestDeployment.SLOTS);
   }
 
   @Test
--- a/core/src/test/java/org/verbenawheel/dispatch/SlotLimitTest.java
+++ b/core/src/test/java/org/verbenawheel/dispatch/SlotLimitTest.java
@@ -33,7 +33,8 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void holdsThroughDeathsTakeoversAndLostMessages(long seed) {
-    TestDeployment deployment = new TestDeployment(seed, ENTRIES, ENDPOINTS, QueueOrder.FIRST_COME);
+    TestDeployment deployment =
+        new TestDeployment(seed, ENTRIES, ENDPOINTS, QueueOrder.EARLIEST_DEADLINE);
     Random random = new Random(seed);
     deployment.network.loseShare(seed % 2 == 0 ? 0 : 0.02);
     Load load = new Load(deployment, seed, request -> serveAnywhere(deployment, random, request));
@@ -43,8 +44,8 @@
       breakSomething(deployment, random);
     }
     deployment.time.pass(Duration.ofSeconds(10));
-    assertThat(deployment.endpoints.mostRunning()).isAtMost(TestDeployment.SLOTS);
-    assertThat(deployment.endpoints.mostRunning()).isGreaterThan(1);
+    assertThat(deployment.endpoints.mostHeld()).isAtMost(TestDeployment.SLOTS);
+    assertThat(deployment.endpoints.mostHeld()).isGreaterThan(1);
     assertEndedUnlessEntryDied(deployment, load);
     load.calls().forEach(call -> assertVerdictHolds(deployment, call));
     deployment.time.pass(Duration.ofSeconds(40));
@@ -53,7 +54,8 @@
 
   @Test
   void doesNotHoldWithEachEntrysOwnCount() {
-    TestDeployment deployment = new TestDeployment(1, ENTRIES, ENDPOINTS, QueueOrder.FIRST_COME);
+    TestDeployment deployment =
+        new TestDeployment(1, ENTRIES, ENDPOINTS, QueueOrder.EARLIEST_DEADLINE);
     List<NaiveEntry> naive = new ArrayList<>();
     for (int index = 0; index < ENTRIES; index++) {
       naive.add(new NaiveEntry(deployment.time, deployment.endpoints, deployment::records));
@@ -63,7 +65,7 @@
         new Load(deployment, 1, request -> naive.get(random.nextInt(ENTRIES)).serve(request));
     load.call(CALLS_PER_SECOND, Duration.ofSeconds(3), DEADLINE, SlotLimitTest::path);
     deployment.time.pass(Duration.ofSeconds(10));
-    assertThat(deployment.endpoints.mostRunning()).isGreaterThan(TestDeployment.SLOTS);
+    assertThat(deployment.endpoints.mostHeld()).isGreaterThan(TestDeployment.SLOTS);
   }
 
   private static CompletableFuture<CallerOutcome> serveAnywhere(
