--- a/command/src/main/java/org/verbenawheel/command/CommandCatalog.java
+++ b/command/src/main/java/org/verbenawheel/command/CommandCatalog.java
@@ -28,6 +28,11 @@
             new HostListCommand(),
             new HostRegisterCommand(),
             new HostRetireCommand(),
+            new MaintenancePlanCommand(),
+            new MaintenanceStatusCommand(),
+            new MaintenanceChangeCommand(MaintenanceChange.START),
+            new MaintenanceChangeCommand(MaintenanceChange.HALT),
+            new MaintenanceChangeCommand(MaintenanceChange.RESUME),
             new ReplicaListCommand(),
             new QuestionnaireCommand(),
             new DumpCommand()));
--- a/command/src/main/java/org/verbenawheel/command/OperatorClient.java
+++ b/command/src/main/java/org/verbenawheel/command/OperatorClient.java
@@ -15,6 +15,7 @@
 import org.verbenawheel.configuration.ConfigurationRequest;
 import org.verbenawheel.configuration.VersionedConfiguration;
 import org.verbenawheel.identity.CommandId;
+import org.verbenawheel.operator.MaintenanceReport;
 import org.verbenawheel.operator.OperatorCommand;
 import org.verbenawheel.operator.OperatorReply;
 import org.verbenawheel.operator.PoolReport;
@@ -36,6 +37,7 @@
       new TypeReference<>() {};
   private static final TypeReference<ImmutableList<PoolReport>> POOLS = new TypeReference<>() {};
   private static final TypeReference<ImmutableList<HostRecord>> HOSTS = new TypeReference<>() {};
+  private static final TypeReference<MaintenanceReport> MAINTENANCE = new TypeReference<>() {};
   private static final TypeReference<ReplicaStatus> REPLICAS = new TypeReference<>() {};
   private static final TypeReference<OperatorReply> REPLY = new TypeReference<>() {};
   private static final TypeReference<JsonNode> DUMP = new TypeReference<>() {};
@@ -125,6 +127,15 @@
     return parse(calls.read("/v1/hosts"), HOSTS);
   }
 
+  /**
+   * Returns how far maintenance has come and what it would do next.
+   *
+   * @throws CommandFailedException if no process answers in time
+   */
+  public MaintenanceReport maintenance() throws CommandFailedException {
+    return parse(calls.read("/v1/maintenance"), MAINTENANCE);
+  }
+
   /**
    * Returns what the leader knows of the replicas of the log.
    *
--- a/command/src/test/java/org/verbenawheel/command/FakeControl.java
+++ b/command/src/test/java/org/verbenawheel/command/FakeControl.java
@@ -25,6 +25,8 @@
 import org.verbenawheel.identity.AvailabilityZone;
 import org.verbenawheel.identity.CommandId;
 import org.verbenawheel.identity.ProcessId;
+import org.verbenawheel.maintenance.MaintenanceState;
+import org.verbenawheel.operator.MaintenanceReport;
 import org.verbenawheel.operator.OperatorCommand;
 import org.verbenawheel.operator.OperatorReply;
 import org.verbenawheel.operator.PoolReport;
@@ -48,6 +50,7 @@
   private final HttpServer server;
   private final ConfigurationState configuration = new ConfigurationState();
   private final PoolState pools = new PoolState();
+  private final MaintenanceState maintenance = new MaintenanceState();
   private final Map<CommandId, CommandReply> replies = new HashMap<>();
   private long index;
 
@@ -98,6 +101,9 @@
           case "GET /v1/configuration/history" -> configuration.history().changes();
           case "GET /v1/pools" -> PoolReport.of(pools.view());
           case "GET /v1/hosts" -> pools.view().hosts().values();
+          case "GET /v1/maintenance" ->
+              new MaintenanceReport(
+                  maintenance.status(), "nothing", "no host is due", ImmutableList.of());
           case "GET /v1/replicas" -> replicas();
           case "GET /v1/dump" -> ImmutableMap.of("configuration", configuration.dump());
           default -> Optional.empty();
@@ -140,6 +146,9 @@
   private CommandReply applyOnce(CommandEnvelope envelope) {
     index++;
     ApplyContext context = new ApplyContext(index, Instant.EPOCH.plusSeconds(index));
+    if (maintenance.commandKinds().contains(envelope.command().getClass())) {
+      return maintenance.apply(envelope.command(), context);
+    }
     if (!configuration.commandKinds().contains(envelope.command().getClass())) {
       return pools.apply(envelope.command(), context);
     }
--- a/command/src/test/java/org/verbenawheel/command/MainTest.java
+++ b/command/src/test/java/org/verbenawheel/command/MainTest.java
@@ -120,6 +120,24 @@
     assertThat(errors()).contains("no host is named h-2");
   }
 
+  @Test
+  void startsHaltsAndResumesMaintenance() {
+    assertThat(run("maintenance", "halt", "--reason", "a bad image")).isEqualTo(ExitCode.REFUSED);
+    assertThat(errors()).contains("start or resume it first");
+    assertThat(run("maintenance", "start", "--period-days", "7", "--command-id", "s-1"))
+        .isEqualTo(ExitCode.DONE);
+    run("maintenance", "start", "--period-days", "7", "--command-id", "s-1");
+    assertThat(output()).contains("already done: maintenance is RUNNING");
+    assertThat(run("maintenance", "halt")).isEqualTo(ExitCode.BAD_INPUT);
+    assertThat(run("maintenance", "halt", "--reason", "a bad image")).isEqualTo(ExitCode.DONE);
+    run("maintenance", "status");
+    assertThat(output()).contains("HALTED");
+    assertThat(errors()).contains("halted: a bad image");
+    assertThat(run("maintenance", "resume")).isEqualTo(ExitCode.DONE);
+    run("maintenance", "plan");
+    assertThat(output()).contains("no host is due");
+  }
+
   @Test
   void listsReplicas() {
     assertThat(run("replica", "list")).isEqualTo(ExitCode.DONE);
--- a/core/src/main/java/org/verbenawheel/operator/OperatorCommand.java
+++ b/core/src/main/java/org/verbenawheel/operator/OperatorCommand.java
@@ -1,5 +1,6 @@
 package org.verbenawheel.operator;
 
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.Optional;
 import org.verbenawheel.document.Document;
@@ -11,6 +12,7 @@
 import org.verbenawheel.identity.PoolName;
 import org.verbenawheel.identity.Rack;
 import org.verbenawheel.identity.Region;
+import org.verbenawheel.maintenance.MaintenanceCommand;
 import org.verbenawheel.platform.Resources;
 import org.verbenawheel.pool.ActivityId;
 import org.verbenawheel.pool.ActivityKind;
@@ -66,6 +68,28 @@
           fields.name("activityId", ActivityId::new, new ActivityId(SUBSTITUTE)),
           expectedVersion(fields));
     }
+  },
+  /** Starts maintenance: every host is maintained once in each period. */
+  START_MAINTENANCE("start-maintenance") {
+    @Override
+    ControlCommand readCommand(DocumentFields fields, CommandId commandId) {
+      return new MaintenanceCommand.StartMaintenance(
+          Duration.ofDays(positiveCount(fields, "periodDays")), expectedVersion(fields));
+    }
+  },
+  /** Halts maintenance: no host is taken out until it is resumed. */
+  HALT_MAINTENANCE("halt-maintenance") {
+    @Override
+    ControlCommand readCommand(DocumentFields fields, CommandId commandId) {
+      return new MaintenanceCommand.HaltMaintenance(fields.text("reason"), expectedVersion(fields));
+    }
+  },
+  /** Resumes maintenance after a halt. */
+  RESUME_MAINTENANCE("resume-maintenance") {
+    @Override
+    ControlCommand readCommand(DocumentFields fields, CommandId commandId) {
+      return new MaintenanceCommand.ResumeMaintenance(expectedVersion(fields));
+    }
   };
 
   private static final String SUBSTITUTE = "-";
@@ -127,6 +151,15 @@
         count(fields, "accelerators"));
   }
 
+  /** Reads a number of 1 or more; another one becomes a problem. */
+  private static int positiveCount(DocumentFields fields, String key) {
+    int count = fields.wholeNumber(key, null);
+    if (fields.isSound(key) && count < 1) {
+      fields.add(key, Integer.toString(count), "1 or more");
+    }
+    return count;
+  }
+
   /** Reads a count; a negative one becomes a problem instead of a record. */
   private static int count(DocumentFields fields, String key) {
     int count = fields.wholeNumber(key, 0);
--- a/core/src/main/java/org/verbenawheel/operator/OperatorReply.java
+++ b/core/src/main/java/org/verbenawheel/operator/OperatorReply.java
@@ -3,6 +3,8 @@
 import com.google.common.base.Joiner;
 import java.util.Optional;
 import org.verbenawheel.configuration.ConfigurationReply;
+import org.verbenawheel.maintenance.MaintenanceReply;
+import org.verbenawheel.maintenance.MaintenanceStatus;
 import org.verbenawheel.pool.HostRecord;
 import org.verbenawheel.pool.PoolRefusalReason;
 import org.verbenawheel.pool.PoolReply;
@@ -51,9 +53,24 @@
     if (reply instanceof PoolReply poolReply) {
       return ofPool(poolReply);
     }
+    if (reply instanceof MaintenanceReply maintenanceReply) {
+      return ofMaintenance(maintenanceReply);
+    }
     return accepted(reply.toString(), Optional.empty());
   }
 
+  private static OperatorReply ofMaintenance(MaintenanceReply reply) {
+    if (reply instanceof MaintenanceReply.MaintenanceRefused refused) {
+      return new OperatorReply(
+          Outcome.REFUSED,
+          refused.message(),
+          "look at it with: verbenawheel maintenance status",
+          Optional.of(refused.status().version()));
+    }
+    MaintenanceStatus status = ((MaintenanceReply.MaintenanceChanged) reply).status();
+    return accepted("maintenance is " + status.phase(), Optional.of(status.version()));
+  }
+
   private static OperatorReply ofConfiguration(ConfigurationReply reply) {
     if (reply instanceof ConfigurationReply.Accepted accepted) {
       return accepted(
--- a/core/src/test/java/org/verbenawheel/operator/OperatorCommandTest.java
+++ b/core/src/test/java/org/verbenawheel/operator/OperatorCommandTest.java
@@ -4,6 +4,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.time.Duration;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.verbenawheel.document.Document;
@@ -12,6 +13,7 @@
 import org.verbenawheel.identity.CommandId;
 import org.verbenawheel.identity.HostName;
 import org.verbenawheel.identity.PoolName;
+import org.verbenawheel.maintenance.MaintenanceCommand;
 import org.verbenawheel.pool.ActivityId;
 import org.verbenawheel.pool.ActivityKind;
 import org.verbenawheel.pool.PoolCommand;
@@ -54,6 +56,17 @@
             "colour");
   }
 
+  @Test
+  void readsMaintenanceCommands() throws DocumentException {
+    assertThat(
+            OperatorCommand.START_MAINTENANCE
+                .read(body("{\"commandId\":\"c\",\"periodDays\":49,\"expectedVersion\":0}"))
+                .command())
+        .isEqualTo(new MaintenanceCommand.StartMaintenance(Duration.ofDays(49), 0));
+    Document never = body("{\"commandId\":\"c\",\"periodDays\":0,\"expectedVersion\":0}");
+    assertThrows(DocumentException.class, () -> OperatorCommand.START_MAINTENANCE.read(never));
+  }
+
   @Test
   void findsCommandsByName() {
     assertThat(OperatorCommand.ofName("move-host")).hasValue(OperatorCommand.MOVE_HOST);
