Hand a dispatcher's work over after an entry has drained, not before

Cause: an entry that stops told the others at once. They dropped its waiting tickets and named other dispatchers while it still served callers for the balancer's sake, so those callers waited until their deadlines. Seen: 'All entries are restarted in turns under load': 329 answered, 14 refused as 504 NOT_RUN. Ruled out: cut connections (none of the 14 had an endpoint's answer in flight). Change: the entry stays a member until its own requests have ended; then it leaves its own view first and tells the others with the next tick.

--- a/core/src/main/java/org/verbenawheel/membership/EndpointMembership.java
+++ b/core/src/main/java/org/verbenawheel/membership/EndpointMembership.java
@@ -41,6 +41,7 @@
   private final List<EndpointChange> changes = new ArrayList<>();
   private final Map<ProcessId, Long> echoes = new TreeMap<>();
   private Instant nextHeartbeatAt;
+  private boolean stopUntold;
 
   EndpointMembership(MembershipIdentity identity, MembershipTimings timings, Instant startedAt) {
     this.identity = identity;
@@ -115,6 +116,7 @@
   void tick(Instant now) {
     expire(now);
     spreadChanges();
+    tellStop();
     if (now.isBefore(nextHeartbeatAt)) {
       return;
     }
@@ -132,11 +134,22 @@
     }
   }
 
-  /** Begins the stop of this entry: the others are told, its endpoints are sent elsewhere. */
+  /**
+   * Begins the stop of this entry: it leaves its own view at once, the others are told with the
+   * next tick, its endpoints are sent elsewhere. So whatever this entry does for the others ends
+   * here before it begins elsewhere.
+   */
   void beginStop() {
     leaseDesk.beginStop();
-    tellAll(new EntryStopping(identity.incarnation()));
-    views.invalidate();
+    views.leave();
+    stopUntold = true;
+  }
+
+  private void tellStop() {
+    if (stopUntold) {
+      stopUntold = false;
+      tellAll(new EntryStopping(identity.incarnation()));
+    }
   }
 
   /** Returns how many endpoints have their home here. */
--- a/core/src/main/java/org/verbenawheel/membership/MembershipNode.java
+++ b/core/src/main/java/org/verbenawheel/membership/MembershipNode.java
@@ -1,5 +1,6 @@
 package org.verbenawheel.membership;
 
+import com.google.common.collect.ImmutableSet;
 import com.google.common.flogger.FluentLogger;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import java.time.Duration;
@@ -251,7 +252,10 @@
   /** Returns whether no endpoint is left here, or no other entry that could take them. */
   private boolean isEmptyOrAlone() {
     return membership.ownEndpoints() == 0
-        || membership.view(settings.clock().instant()).liveEntries().size() == 1;
+        || membership
+            .view(settings.clock().instant())
+            .liveEntries()
+            .equals(ImmutableSet.of(settings.self()));
   }
 
   /** A decision without an answer. */
--- a/core/src/main/java/org/verbenawheel/membership/ViewKeeper.java
+++ b/core/src/main/java/org/verbenawheel/membership/ViewKeeper.java
@@ -18,6 +18,7 @@
   private final DepartedEndpoints departed;
   private MembershipView view = MembershipView.EMPTY;
   private Instant validUntil = Instant.MIN;
+  private boolean leaving;
 
   ViewKeeper(ProcessId self, OwnSection own, PeerSections peers, DepartedEndpoints departed) {
     this.self = self;
@@ -26,6 +27,12 @@
     this.departed = departed;
   }
 
+  /** Takes this entry out of its own view, unless it is alone in it. */
+  void leave() {
+    leaving = true;
+    invalidate();
+  }
+
   /** Takes the news that something the view is made of has changed. */
   void invalidate() {
     validUntil = Instant.MIN;
@@ -75,6 +82,9 @@
   }
 
   private ImmutableSet<ProcessId> entries(Instant now) {
-    return ImmutableSet.<ProcessId>builder().add(self).addAll(peers.live(now)).build();
+    ImmutableSet<ProcessId> others = ImmutableSet.copyOf(peers.live(now));
+    return leaving && !others.isEmpty()
+        ? others
+        : ImmutableSet.<ProcessId>builder().add(self).addAll(others).build();
   }
 }
--- a/daemon/src/main/java/org/verbenawheel/daemon/DaemonRunner.java
+++ b/daemon/src/main/java/org/verbenawheel/daemon/DaemonRunner.java
@@ -71,7 +71,8 @@
     drain.run();
     root.stop(grace);
     logger.atInfo().log("%s", EventLine.of(Event.PROCESS_STOPPED).with("process", process));
-    ended.countDown();
+    // Left to itself, the virtual machine would report the signal and not an orderly stop.
+    Runtime.getRuntime().halt(exitCode.get());
   }
 
   private void awaitEnd() {
--- a/daemon/src/main/java/org/verbenawheel/entry/EntryProcess.java
+++ b/daemon/src/main/java/org/verbenawheel/entry/EntryProcess.java
@@ -47,6 +47,9 @@
   /** How long the balancer may take to notice that an entry is not ready. */
   private static final Duration BALANCER_NOTICE = Duration.ofSeconds(2);
 
+  /** How long the other entries may take to go on without this one. */
+  private static final Duration HANDOVER_NOTICE = Duration.ofMillis(500);
+
   private static final Duration CLAIM_TIMEOUT = Duration.ofSeconds(2);
   private static final Duration RETRY_AFTER_DRAIN = Duration.ofSeconds(1);
   private static final int CONNECTIONS_PER_ENDPOINT = 64;
@@ -105,11 +108,11 @@
 
   /**
    * Says that it is not ready, serves on until the balancer has noticed, then takes no new request
-   * and returns when none is in flight or the drain timeout has passed.
+   * and waits until none is in flight or the drain timeout has passed. Only then it leaves the
+   * other entries, so that it stays dispatcher and its callers' tickets stay valid until the end.
    */
   void drain() {
     leaving = true;
-    membership.beginDrain();
     Uninterruptibles.sleepUninterruptibly(BALANCER_NOTICE);
     draining = true;
     try {
@@ -118,6 +121,8 @@
     } catch (ExecutionException | TimeoutException unfinished) {
       // The requests still in flight are cut by the stop that follows; the log names them.
     }
+    membership.beginDrain();
+    Uninterruptibles.sleepUninterruptibly(HANDOVER_NOTICE);
   }
 
   @Override
