Obey the settings of heartbeats and take out one that nothing obeyed

Cause: read as a newcomer, heartbeatIntervalMilliseconds and peerSilenceMilliseconds were checked and documented but reached no connection, and endpointLeaseMilliseconds contradicted the membership's own timings, whose sum must stay below 3 s. The connections were also put together twice. Change: PeerNodes makes them for both kinds of process from the settings; the setting that could not be obeyed is gone, with its line of the reference.

--- a/daemon/src/main/java/org/verbenawheel/control/ControlProcess.java
+++ b/daemon/src/main/java/org/verbenawheel/control/ControlProcess.java
@@ -20,8 +20,8 @@
 import org.verbenawheel.daemon.HttpServerPart;
 import org.verbenawheel.daemon.OperatorToken;
 import org.verbenawheel.daemon.PartDumps;
+import org.verbenawheel.daemon.PeerNodes;
 import org.verbenawheel.daemon.SecretFile;
-import org.verbenawheel.identity.ProcessId;
 import org.verbenawheel.maintenance.MaintenanceState;
 import org.verbenawheel.operator.MaintenanceReport;
 import org.verbenawheel.operator.PoolReport;
@@ -40,7 +40,6 @@
 import org.verbenawheel.supervision.RestartStrategy;
 import org.verbenawheel.supervision.Supervisor;
 import org.verbenawheel.wire.PeerNode;
-import org.verbenawheel.wire.SharedSecret;
 
 /** Puts the parts of one control process together: a replica, the controllers and operators. */
 final class ControlProcess implements OperatorService, DaemonState {
@@ -63,7 +62,7 @@
     this.clock = clock;
     this.controllers =
         new FleetControllers(pools, maintenance, () -> configuration.history().current(), clock);
-    this.peers = newPeers();
+    this.peers = PeerNodes.of(settings, clock);
     this.replica = newReplica();
     peers.addHandler(replica);
     peers.addHandler(controllers);
@@ -157,21 +156,6 @@
         "replica", PartDumps.orNoAnswer(replica.dump()));
   }
 
-  private PeerNode newPeers() throws PartFailedException {
-    return PeerNode.builder()
-        .self(settings.process())
-        .listenAddress(Addresses.text(settings.peerAddress()))
-        .peers(
-            ImmutableMap.<ProcessId, String>builder()
-                .putAll(Addresses.texts(settings.entries()))
-                .putAll(Addresses.texts(settings.controls()))
-                .buildOrThrow())
-        .secret(SharedSecret.of(SecretFile.read(settings.sharedSecretFile(), "sharedSecretFile")))
-        .kinds(DaemonMessages.KINDS)
-        .clock(clock)
-        .build();
-  }
-
   private ReplicaProcess newReplica() {
     return ReplicaProcess.builder(settings.process(), clock)
         .initialVoters(settings.controls().keySet())
--- a/daemon/src/main/java/org/verbenawheel/entry/EntryProcess.java
+++ b/daemon/src/main/java/org/verbenawheel/entry/EntryProcess.java
@@ -20,11 +20,11 @@
 import org.verbenawheel.daemon.HttpServerPart;
 import org.verbenawheel.daemon.OperatorToken;
 import org.verbenawheel.daemon.PartDumps;
+import org.verbenawheel.daemon.PeerNodes;
 import org.verbenawheel.daemon.SecretFile;
 import org.verbenawheel.decision.DecisionJournal;
 import org.verbenawheel.dispatch.DispatchNode;
 import org.verbenawheel.dispatch.RequestPath;
-import org.verbenawheel.identity.ProcessId;
 import org.verbenawheel.identity.RequestId;
 import org.verbenawheel.membership.MembershipNode;
 import org.verbenawheel.replication.RemoteCommandLog;
@@ -37,7 +37,6 @@
 import org.verbenawheel.supervision.RestartStrategy;
 import org.verbenawheel.supervision.Supervisor;
 import org.verbenawheel.wire.PeerNode;
-import org.verbenawheel.wire.SharedSecret;
 
 /**
  * Puts the parts of one entry together: callers and endpoints on one side, the other processes of
@@ -73,7 +72,7 @@
   EntryProcess(EntrySettings settings, InstantSource clock) throws PartFailedException {
     this.settings = settings;
     this.clock = clock;
-    this.peers = newPeers();
+    this.peers = PeerNodes.of(settings, clock);
     this.membership = newMembership();
     this.configuration = newConfiguration();
     EndpointConnectionLimits limits =
@@ -178,21 +177,6 @@
         .buildOrThrow();
   }
 
-  private PeerNode newPeers() throws PartFailedException {
-    return PeerNode.builder()
-        .self(settings.process())
-        .listenAddress(Addresses.text(settings.peerAddress()))
-        .peers(
-            ImmutableMap.<ProcessId, String>builder()
-                .putAll(Addresses.texts(settings.entries()))
-                .putAll(Addresses.texts(settings.controls()))
-                .buildOrThrow())
-        .secret(SharedSecret.of(SecretFile.read(settings.sharedSecretFile(), "sharedSecretFile")))
-        .kinds(DaemonMessages.KINDS)
-        .clock(clock)
-        .build();
-  }
-
   private MembershipNode newMembership() {
     return MembershipNode.builder()
         .self(settings.process())
--- a/daemon/src/main/java/org/verbenawheel/settings/EntrySettingDefinitions.java
+++ b/daemon/src/main/java/org/verbenawheel/settings/EntrySettingDefinitions.java
@@ -99,14 +99,6 @@
           30_000,
           "A peer connection silent for this long is replaced.");
 
-  static final SettingDefinition ENDPOINT_LEASE_MILLISECONDS =
-      SettingDefinition.number(
-          "endpointLeaseMilliseconds",
-          2_500,
-          500,
-          3_000,
-          "How long an endpoint stays a member after its last announcement.");
-
   /** Every setting, in the order of the reference page. */
   public static final ImmutableList<SettingDefinition> ALL =
       ImmutableList.of(
@@ -125,8 +117,7 @@
           CONFIGURATION_FRESHNESS_MILLISECONDS,
           CONFIGURATION_POLL_MILLISECONDS,
           HEARTBEAT_INTERVAL_MILLISECONDS,
-          PEER_SILENCE_MILLISECONDS,
-          ENDPOINT_LEASE_MILLISECONDS);
+          PEER_SILENCE_MILLISECONDS);
 
   private EntrySettingDefinitions() {}
 }
--- a/daemon/src/main/java/org/verbenawheel/settings/EntrySettings.java
+++ b/daemon/src/main/java/org/verbenawheel/settings/EntrySettings.java
@@ -32,7 +32,6 @@
  * @param configurationPollMilliseconds the time between two questions for the configuration
  * @param heartbeatIntervalMilliseconds the time between heartbeats on a peer connection
  * @param peerSilenceMilliseconds a peer connection silent for this long is replaced
- * @param endpointLeaseMilliseconds how long an endpoint stays a member after its last announcement
  */
 public record EntrySettings(
     ProcessId process,
@@ -50,8 +49,7 @@
     long configurationFreshnessMilliseconds,
     long configurationPollMilliseconds,
     long heartbeatIntervalMilliseconds,
-    long peerSilenceMilliseconds,
-    long endpointLeaseMilliseconds) {
+    long peerSilenceMilliseconds) {
 
   /** Returns a builder with the defaults of the reference page for every number. */
   public static Builder builder() {
@@ -82,8 +80,6 @@
         EntrySettingDefinitions.HEARTBEAT_INTERVAL_MILLISECONDS.defaultNumber().orElseThrow();
     private long peerSilenceMilliseconds =
         EntrySettingDefinitions.PEER_SILENCE_MILLISECONDS.defaultNumber().orElseThrow();
-    private long endpointLeaseMilliseconds =
-        EntrySettingDefinitions.ENDPOINT_LEASE_MILLISECONDS.defaultNumber().orElseThrow();
 
     private Builder() {}
 
@@ -199,13 +195,6 @@
       return this;
     }
 
-    /** Sets {@link EntrySettings#endpointLeaseMilliseconds}. */
-    @CanIgnoreReturnValue
-    public Builder endpointLeaseMilliseconds(long value) {
-      endpointLeaseMilliseconds = value;
-      return this;
-    }
-
     /**
      * Builds the settings.
      *
@@ -228,8 +217,7 @@
           configurationFreshnessMilliseconds,
           configurationPollMilliseconds,
           heartbeatIntervalMilliseconds,
-          peerSilenceMilliseconds,
-          endpointLeaseMilliseconds);
+          peerSilenceMilliseconds);
     }
   }
 }
--- a/daemon/src/main/java/org/verbenawheel/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/verbenawheel/settings/SettingsReader.java
@@ -54,8 +54,6 @@
                 values.number(EntrySettingDefinitions.HEARTBEAT_INTERVAL_MILLISECONDS))
             .peerSilenceMilliseconds(
                 values.number(EntrySettingDefinitions.PEER_SILENCE_MILLISECONDS))
-            .endpointLeaseMilliseconds(
-                values.number(EntrySettingDefinitions.ENDPOINT_LEASE_MILLISECONDS))
             .build();
     SettingChecks.checkEntry(settings, values);
     return settings;
