--- a/daemon/src/main/java/org/verbenawheel/entry/EntryProcess.java
+++ b/daemon/src/main/java/org/verbenawheel/entry/EntryProcess.java
@@ -57,6 +57,7 @@
   private final EntrySettings settings;
   private final InstantSource clock;
   private final MetricRegistry metrics = new MetricRegistry();
+  private final DecisionJournal routingDecisions = new DecisionJournal(DECISIONS_KEPT);
   private final PeerNode peers;
   private final MembershipNode membership;
   private final ConfigurationFollower configuration;
@@ -89,7 +90,7 @@
         DispatchNode.builder(settings.process(), membership, configuration, peers)
             .clock(clock)
             .metrics(metrics)
-            .journal(new DecisionJournal(DECISIONS_KEPT))
+            .journal(routingDecisions)
             .build();
     this.requestPath =
         new RequestPath(
@@ -174,6 +175,7 @@
         .put("peers", peers.dump())
         .put("endpointConnectionsReplaced", endpointClient.replacements())
         .put("requestPath", PartDumps.orNoAnswer(requestPath.dump()))
+        .put("routingDecisions", routingDecisions.recent())
         .buildOrThrow();
   }
 
