--- a/core/src/main/java/org/verbenawheel/event/Event.java
+++ b/core/src/main/java/org/verbenawheel/event/Event.java
@@ -75,7 +75,38 @@
   /** A maintenance wave changed its state. */
   MAINTENANCE_WAVE,
   /** A job was placed, refused or moved. */
-  JOB_PLACED;
+  JOB_PLACED,
+
+  /** A caller's job was stored. */
+  JOB_ACCEPTED,
+  /** A call on a queue was refused. */
+  QUEUE_CALL_REFUSED,
+  /** A caller cancelled a job. */
+  JOB_CANCELLED,
+  /** A job has ended. */
+  JOB_ENDED,
+  /** A run of a task was bound to a worker. */
+  RUN_BOUND,
+  /** A run of a task has ended. */
+  RUN_ENDED,
+  /** An order to a worker got no clear answer or was refused. */
+  WORKER_ORDER_FAILED,
+  /** A worker joined, started anew or changed what it says of itself. */
+  WORKER_RECORDED,
+  /** A worker left. */
+  WORKER_FORGOTTEN,
+  /** A worker does not answer. */
+  WORKER_LOST,
+  /** A worker answers again, or for the first time under this leader. */
+  WORKER_REACHED,
+  /** A worker gets no tasks for a while because too many fail there. */
+  WORKER_QUARANTINED,
+  /** This process began or ceased to command the workers. */
+  FLEET_COMMAND,
+  /** The settings were read again. */
+  SETTINGS_RELOADED,
+  /** A message from outside could not be read. */
+  MESSAGE_REJECTED;
 
   /** Returns the name as it stands in a log line. */
   public String logName() {
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/execution/FleetContext.java
@@ -0,0 +1,44 @@
+package org.verbenawheel.execution;
+
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
+import org.jspecify.annotations.Nullable;
+import org.verbenawheel.job.JobLedger;
+
+/**
+ * What the parts of one leadership share.
+ *
+ * @param ledger the jobs, as committed
+ * @param calls sends orders to workers
+ * @param timings how orders are timed
+ * @param clock tells instants that never go back
+ * @param stateThread the thread that owns the state and everything in this package
+ * @param ends collects the ends of runs until they are committed
+ * @param firstFencingToken the lowest fencing token of this leadership
+ * @param since when this leadership began
+ */
+record FleetContext(
+    JobLedger ledger,
+    WorkerCalls calls,
+    ExecutionTimings timings,
+    InstantSource clock,
+    Executor stateThread,
+    EndRecorder ends,
+    long firstFencingToken,
+    Instant since) {
+
+  Instant now() {
+    return clock.instant();
+  }
+
+  /** Hands the outcome of a call to the state thread. */
+  <T> void whenDone(
+      CompletableFuture<T> call, BiConsumer<@Nullable T, @Nullable Throwable> outcome) {
+    var unused =
+        call.whenComplete(
+            (value, failure) -> stateThread.execute(() -> outcome.accept(value, failure)));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -0,0 +1,356 @@
+package org.verbenawheel.execution;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.flogger.FluentLogger;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
+import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
+import org.verbenawheel.event.Event;
+import org.verbenawheel.event.EventLine;
+import org.verbenawheel.job.Job;
+import org.verbenawheel.job.JobCommands.RecordStarts;
+import org.verbenawheel.job.JobCommands.RunEnd;
+import org.verbenawheel.job.JobCommands.RunStart;
+import org.verbenawheel.job.JobLedger;
+import org.verbenawheel.job.RunEnding;
+import org.verbenawheel.job.Task;
+import org.verbenawheel.job.TaskId;
+import org.verbenawheel.queue.FleetConfigurationState;
+import org.verbenawheel.queue.QueueRoute;
+import org.verbenawheel.scheduling.JobScheduler;
+import org.verbenawheel.scheduling.WorkerRoom;
+import org.verbenawheel.worker.Worker;
+import org.verbenawheel.worker.WorkerCommands.ForgetWorker;
+import org.verbenawheel.worker.WorkerCommands.RecordWorker;
+import org.verbenawheel.worker.WorkerRegistry;
+
+/**
+ * Commands all workers while this process leads: keeps a session with each, binds waiting tasks to
+ * them and carries out what was committed. Belongs to the state thread.
+ */
+public final class FleetLeadership {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Terms are so far apart that a leadership can raise its fence this often at one worker. */
+  private static final long FENCING_TOKENS_PER_TERM = 1L << 16;
+
+  private final FleetContext context;
+  private final WorkerRegistry registry;
+  private final FleetConfigurationState configuration;
+  private final CommandSink sink;
+  private final LongSupplier timeOfDayMilliseconds;
+  private final JobScheduler scheduler;
+  private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
+  private final Map<String, Long> lastReportSequence = new LinkedHashMap<>();
+  private boolean bindingUnderWay;
+  private boolean roundWanted;
+  private boolean ended;
+
+  private FleetLeadership(Builder builder, long term) {
+    this.sink = builder.sink;
+    this.registry = builder.registry;
+    this.configuration = builder.configuration;
+    this.timeOfDayMilliseconds = builder.timeOfDayMilliseconds;
+    this.context =
+        new FleetContext(
+            builder.ledger,
+            builder.calls,
+            builder.timings,
+            builder.clock,
+            builder.stateThread,
+            new EndRecorder(builder.sink, builder.stateThread, this::schedule),
+            term * FENCING_TOKENS_PER_TERM,
+            builder.clock.instant());
+    this.scheduler = new JobScheduler(this::poolOf);
+    registry.all().forEach(worker -> sessions.put(worker.id(), new WorkerSession(context, worker)));
+    logger.atInfo().log(
+        "%s",
+        EventLine.of(Event.FLEET_COMMAND)
+            .with("commands", true)
+            .with("term", term)
+            .with("workers", sessions.size())
+            .with("active_jobs", builder.ledger.active().size()));
+  }
+
+  /**
+   * What every leadership of one process is made from.
+   *
+   * @param ledger the jobs
+   * @param registry the workers
+   * @param configuration the queues and pools
+   * @param sink commits the leader's commands
+   * @param calls sends orders to workers
+   * @param timings how orders are timed
+   * @param clock tells instants that never go back
+   * @param timeOfDayMilliseconds tells the time of day in milliseconds since 1970
+   * @param stateThread the thread that owns the state
+   */
+  public record Builder(
+      JobLedger ledger,
+      WorkerRegistry registry,
+      FleetConfigurationState configuration,
+      CommandSink sink,
+      WorkerCalls calls,
+      ExecutionTimings timings,
+      InstantSource clock,
+      LongSupplier timeOfDayMilliseconds,
+      Executor stateThread) {
+
+    /**
+     * Begins a leadership; every entry of earlier terms must be applied.
+     *
+     * @param term the term that this process leads
+     */
+    public FleetLeadership begin(long term) {
+      return new FleetLeadership(this, term);
+    }
+  }
+
+  /** Does what is due. To be called several times a second while this process may decide. */
+  public void onTick() {
+    Instant now = context.now();
+    for (WorkerSession session : ImmutableList.copyOf(sessions.values())) {
+      session.onTick(now);
+      if (session.isForgettable(now)) {
+        forget(session.worker(), "silent");
+      }
+    }
+    releaseOrphans();
+    schedule();
+  }
+
+  /** Releases runs that were bound to a worker just as it was forgotten; it never heard of them. */
+  private void releaseOrphans() {
+    List<RunEnd> ends = new ArrayList<>();
+    for (String worker : context.ledger().boundWorkers()) {
+      if (!sessions.containsKey(worker)) {
+        for (Task task : context.ledger().boundTo(worker)) {
+          ends.add(new RunEnd(task.id().text(), task.run(), RunEnding.LAPSED, ""));
+        }
+      }
+    }
+    if (!ends.isEmpty()) {
+      context.ends().record(ends, () -> {});
+    }
+  }
+
+  /**
+   * Takes a worker's report of itself.
+   *
+   * @param reported the worker as it announced itself
+   * @param sequence numbers the reports of one life of a worker
+   * @param clockMilliseconds the worker's clock
+   * @return done once a leader's successor would know of it too
+   */
+  public CompletableFuture<?> onReport(
+      Worker reported, long sequence, Optional<Long> clockMilliseconds) {
+    Optional<Worker> known = registry.find(reported.id());
+    if (isOutdated(reported, sequence, known) || isSuperseded(reported)) {
+      return CompletableFuture.completedFuture(null);
+    }
+    lastReportSequence.put(reported.id(), sequence);
+    endPredecessors(reported);
+    if (known.filter(reported::equals).isPresent()) {
+      takeReport(reported, clockMilliseconds);
+      return CompletableFuture.completedFuture(null);
+    }
+    CompletableFuture<Object> recorded = new CompletableFuture<>();
+    context.whenDone(
+        sink.commit(new RecordWorker(reported)),
+        (reply, failure) -> {
+          if (reply != null) {
+            logger.atInfo().log(
+                "%s",
+                EventLine.of(Event.WORKER_RECORDED)
+                    .with("worker", reported.id())
+                    .with("born", reported.bornAtMilliseconds())
+                    .with("pool", reported.pool())
+                    .with("address", reported.address())
+                    .with("draining", reported.draining()));
+            takeReport(reported, clockMilliseconds);
+            recorded.complete(reply);
+          } else {
+            recorded.completeExceptionally(orUnknown(failure));
+          }
+        });
+    return recorded;
+  }
+
+  private static Throwable orUnknown(@Nullable Throwable failure) {
+    return failure == null ? new IllegalStateException("no reply and no failure") : failure;
+  }
+
+  private boolean isOutdated(Worker reported, long sequence, Optional<Worker> known) {
+    if (known.isEmpty() || reported.bornAtMilliseconds() > known.get().bornAtMilliseconds()) {
+      return false;
+    }
+    boolean earlierLife = reported.bornAtMilliseconds() < known.get().bornAtMilliseconds();
+    return earlierLife || sequence <= lastReportSequence.getOrDefault(reported.id(), -1L);
+  }
+
+  /** Returns whether a worker that was born later has the address: the report came late. */
+  private boolean isSuperseded(Worker reported) {
+    return othersAtAddressOf(reported)
+        .anyMatch(other -> other.bornAtMilliseconds() >= reported.bornAtMilliseconds());
+  }
+
+  private Stream<Worker> othersAtAddressOf(Worker reported) {
+    return registry.all().stream()
+        .filter(
+            other ->
+                other.address().equals(reported.address()) && !other.id().equals(reported.id()));
+  }
+
+  private void endPredecessors(Worker reported) {
+    othersAtAddressOf(reported).forEach(other -> forget(other, "its address has a new worker"));
+  }
+
+  private void takeReport(Worker reported, Optional<Long> clockMilliseconds) {
+    WorkerSession session =
+        sessions.computeIfAbsent(reported.id(), unused -> new WorkerSession(context, reported));
+    session.onReport(reported, clockMilliseconds);
+    schedule();
+  }
+
+  /**
+   * Takes the word of a worker that it ends now.
+   *
+   * @param id the worker
+   * @param bornAtMilliseconds which life of it ends; empty for the one that is known
+   * @return done once it is forgotten
+   */
+  public CompletableFuture<?> onLeave(String id, Optional<Long> bornAtMilliseconds) {
+    Optional<Worker> leaving =
+        registry
+            .find(id)
+            .filter(
+                known ->
+                    bornAtMilliseconds
+                        .filter(born -> born != known.bornAtMilliseconds())
+                        .isEmpty());
+    return leaving
+        .<CompletableFuture<?>>map(worker -> forget(worker, "it said that it ends"))
+        .orElseGet(() -> CompletableFuture.completedFuture(null));
+  }
+
+  private CompletableFuture<?> forget(Worker worker, String reason) {
+    WorkerSession session = sessions.remove(worker.id());
+    if (session != null) {
+      session.releaseAll(context.ledger().boundTo(worker.id()).asList(), reason);
+    }
+    lastReportSequence.remove(worker.id());
+    context.calls().forget(worker.id());
+    logger.atInfo().log(
+        "%s",
+        EventLine.of(Event.WORKER_FORGOTTEN).with("worker", worker.id()).with("reason", reason));
+    return sink.commit(new ForgetWorker(worker.id(), worker.bornAtMilliseconds()));
+  }
+
+  /** Ends the leadership: no order is sent any more. */
+  public void end() {
+    ended = true;
+    logger.atInfo().log("%s", EventLine.of(Event.FLEET_COMMAND).with("commands", false));
+  }
+
+  /** Binds waiting tasks to workers, unless a binding is under way. */
+  public void schedule() {
+    if (ended) {
+      return;
+    }
+    if (bindingUnderWay) {
+      roundWanted = true;
+      return;
+    }
+    roundWanted = false;
+    Instant now = context.now();
+    ImmutableList<RunStart> starts =
+        scheduler.decide(
+            context.ledger().active(), rooms(now), now, timeOfDayMilliseconds.getAsLong());
+    if (starts.isEmpty()) {
+      return;
+    }
+    bindingUnderWay = true;
+    for (RunStart start : starts) {
+      TaskId.parse(start.task())
+          .ifPresent(task -> requireSession(start.worker()).onBinding(task, start.run()));
+    }
+    context.whenDone(
+        sink.commit(new RecordStarts(starts)),
+        (reply, failure) -> onBound(starts, failure == null));
+  }
+
+  private WorkerSession requireSession(String worker) {
+    return Objects.requireNonNull(sessions.get(worker), "rooms are made of sessions only");
+  }
+
+  private List<WorkerRoom> rooms(Instant now) {
+    List<WorkerRoom> rooms = new ArrayList<>();
+    for (WorkerSession session : sessions.values()) {
+      if (session.takesTasks(now)) {
+        WorkerRoom room = new WorkerRoom(session.worker());
+        context.ledger().boundTo(session.worker().id()).forEach(room::take);
+        rooms.add(room);
+      }
+    }
+    return rooms;
+  }
+
+  private void onBound(ImmutableList<RunStart> starts, boolean committed) {
+    bindingUnderWay = false;
+    if (ended) {
+      return;
+    }
+    if (committed) {
+      starts.forEach(this::carryOut);
+    }
+    if (roundWanted) {
+      schedule();
+    }
+  }
+
+  private void carryOut(RunStart start) {
+    TaskId id = TaskId.parse(start.task()).orElseThrow();
+    Optional<Task> task =
+        context
+            .ledger()
+            .find(id)
+            .filter(
+                known ->
+                    known.run() == start.run()
+                        && known.worker().filter(start.worker()::equals).isPresent());
+    WorkerSession session = sessions.get(start.worker());
+    if (session == null) {
+      return;
+    }
+    if (task.isEmpty()) {
+      session.onNotBound(id);
+      return;
+    }
+    logger.atInfo().log(
+        "%s",
+        EventLine.of(Event.RUN_BOUND)
+            .with("task", start.task())
+            .with("run", start.run())
+            .with("worker", start.worker()));
+    session.start(task.get(), Optional.empty());
+  }
+
+  /** Returns the pool that runs a job's queue now; the one at its acceptance if the queue left. */
+  private String poolOf(Job job) {
+    return configuration
+        .current()
+        .flatMap(present -> present.queueAt(job.queue()))
+        .map(QueueRoute::pool)
+        .orElse(job.limits().pool());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/gateway/GatewayMessages.java
@@ -0,0 +1,30 @@
+package org.verbenawheel.gateway;
+
+import org.verbenawheel.job.JobCommands;
+import org.verbenawheel.peer.MessageKinds;
+import org.verbenawheel.queue.ConfigurationInstalled;
+import org.verbenawheel.queue.InstallConfiguration;
+import org.verbenawheel.worker.WorkerCommands;
+
+/** The numbers of the messages of jobs, workers and queues. */
+public final class GatewayMessages {
+  /** All kinds of these topics. */
+  public static final MessageKinds KINDS =
+      MessageKinds.builder()
+          .add(600, QueueCall.class)
+          .add(601, QueueAnswer.class)
+          .add(610, JobCommands.AcceptJob.class)
+          .add(611, JobCommands.CancelJob.class)
+          .add(612, JobCommands.RecordStarts.class)
+          .add(613, JobCommands.RecordEnds.class)
+          .add(614, JobCommands.JobReply.class)
+          .add(615, JobCommands.RunsRecorded.class)
+          .add(620, WorkerCommands.RecordWorker.class)
+          .add(621, WorkerCommands.ForgetWorker.class)
+          .add(622, WorkerCommands.WorkersChanged.class)
+          .add(630, InstallConfiguration.class)
+          .add(631, ConfigurationInstalled.class)
+          .build();
+
+  private GatewayMessages() {}
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/gateway/QueueService.java
@@ -0,0 +1,171 @@
+package org.verbenawheel.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.verbenawheel.event.Event;
+import org.verbenawheel.event.EventLine;
+import org.verbenawheel.execution.CommandSink;
+import org.verbenawheel.gateway.QueueAnswer.Outcome;
+import org.verbenawheel.job.Job;
+import org.verbenawheel.job.JobCommands.AcceptJob;
+import org.verbenawheel.job.JobCommands.CancelJob;
+import org.verbenawheel.job.JobCommands.JobReply;
+import org.verbenawheel.job.JobCommands.Limits;
+import org.verbenawheel.job.JobLedger;
+import org.verbenawheel.job.JobSpecification;
+import org.verbenawheel.queue.FleetConfiguration;
+import org.verbenawheel.queue.FleetConfigurationState;
+import org.verbenawheel.queue.QueueRoute;
+import org.verbenawheel.replication.CommandNotCommittedException;
+import org.verbenawheel.replication.CommandReply;
+import org.verbenawheel.replication.ControlCommand;
+import org.verbenawheel.request.RunVerdict;
+
+/**
+ * Answers callers' requests on the leader. Called on the state thread, after it is certain that
+ * this process leads, so that no answer is older than what was acknowledged before.
+ */
+public final class QueueService {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final FleetConfigurationState configuration;
+  private final JobLedger ledger;
+  private final CommandSink sink;
+
+  /**
+   * Makes the service.
+   *
+   * @param configuration the queues
+   * @param ledger the jobs
+   * @param sink commits
+   */
+  public QueueService(FleetConfigurationState configuration, JobLedger ledger, CommandSink sink) {
+    this.configuration = configuration;
+    this.ledger = ledger;
+    this.sink = sink;
+  }
+
+  /**
+   * Answers one request.
+   *
+   * @param call the request
+   * @return the answer; never fails
+   */
+  public CompletableFuture<QueueAnswer> answer(QueueCall call) {
+    Optional<FleetConfiguration> present = configuration.current();
+    if (present.isEmpty()) {
+      return refused(call, Outcome.NOT_CONFIGURED, "no configuration was accepted yet");
+    }
+    Optional<QueueRoute> found = present.get().queueFor(call.host(), call.path());
+    if (found.isEmpty()) {
+      return refused(
+          call, Outcome.NO_SUCH_QUEUE, "version " + present.get().version() + " has no such queue");
+    }
+    QueueRoute queue = found.get();
+    String job = call.path().substring(queue.pathPrefix().length());
+    return switch (call.operation()) {
+      case SUBMIT -> submit(call, queue, job);
+      case READ -> CompletableFuture.completedFuture(read(queue, job));
+      case CANCEL -> cancel(queue, job);
+    };
+  }
+
+  private static CompletableFuture<QueueAnswer> refused(
+      QueueCall call, Outcome outcome, String detail) {
+    logger.atInfo().log(
+        "%s",
+        EventLine.of(Event.QUEUE_CALL_REFUSED)
+            .with("operation", call.operation())
+            .with("host", call.host())
+            .with("path", call.path())
+            .with("outcome", outcome)
+            .with("detail", detail));
+    return CompletableFuture.completedFuture(QueueAnswer.of(outcome, detail));
+  }
+
+  private CompletableFuture<QueueAnswer> submit(QueueCall call, QueueRoute queue, String job) {
+    if (!JobIds.isAcceptable(job)) {
+      return refused(call, Outcome.INVALID, "a job's id is 1 to 64 letters, digits, - or _");
+    }
+    Optional<JobSpecification> specification = call.specification();
+    if (specification.isEmpty() || !specification.get().problems().isEmpty()) {
+      String problems =
+          specification.map(JobSpecification::problems).map(Object::toString).orElse("no job");
+      return refused(call, Outcome.INVALID, problems);
+    }
+    AcceptJob accept =
+        new AcceptJob(
+            job, queue.place(), specification.get(), limitsOf(queue, specification.get()));
+    return commit(accept)
+        .thenApply(
+            answer -> {
+              logger.atInfo().log(
+                  "%s",
+                  EventLine.of(Event.JOB_ACCEPTED)
+                      .with("job", job)
+                      .with("queue", queue.name())
+                      .with("pool", queue.pool())
+                      .with("steps", accept.specification().steps().size())
+                      .with("objective_ms", accept.limits().objectiveMilliseconds())
+                      .with("outcome", answer.outcome()));
+              return answer.outcome() == Outcome.CANCELLED
+                  ? QueueAnswer.of(Outcome.ACCEPTED)
+                  : answer;
+            });
+  }
+
+  private static Limits limitsOf(QueueRoute queue, JobSpecification specification) {
+    long objective =
+        (long) (queue.stretch() * specification.longestChainMilliseconds())
+            + queue.targetLatencyMilliseconds();
+    return new Limits(queue.pool(), queue.priority(), queue.maximumAttempts(), objective);
+  }
+
+  private QueueAnswer read(QueueRoute queue, String job) {
+    if (job.isEmpty()) {
+      return QueueAnswer.ofQueue(ledger.pending(queue.place()));
+    }
+    return find(queue, job)
+        .map(known -> QueueAnswer.ofJob(known.phase()))
+        .orElseGet(() -> QueueAnswer.of(Outcome.NO_SUCH_JOB));
+  }
+
+  private Optional<Job> find(QueueRoute queue, String job) {
+    return ledger.find(job).filter(known -> known.queue().equals(queue.place()));
+  }
+
+  private CompletableFuture<QueueAnswer> cancel(QueueRoute queue, String job) {
+    if (find(queue, job).isEmpty()) {
+      return CompletableFuture.completedFuture(QueueAnswer.of(Outcome.NO_SUCH_JOB));
+    }
+    return commit(new CancelJob(job, queue.place()))
+        .thenApply(
+            answer -> {
+              logger.atInfo().log(
+                  "%s",
+                  EventLine.of(Event.JOB_CANCELLED)
+                      .with("job", job)
+                      .with("queue", queue.name())
+                      .with("outcome", answer.outcome()));
+              return answer;
+            });
+  }
+
+  private CompletableFuture<QueueAnswer> commit(ControlCommand command) {
+    return sink.commit(command)
+        .handle((reply, failure) -> reply != null ? answerOf(reply) : answerOf(failure));
+  }
+
+  private static QueueAnswer answerOf(CommandReply reply) {
+    boolean known = reply instanceof JobReply answered && answered.known();
+    return QueueAnswer.of(known ? Outcome.CANCELLED : Outcome.NO_SUCH_JOB);
+  }
+
+  private static QueueAnswer answerOf(Throwable failure) {
+    boolean notRun =
+        failure instanceof CommandNotCommittedException notCommitted
+            && notCommitted.verdict() == RunVerdict.NOT_RUN;
+    return QueueAnswer.of(notRun ? Outcome.NOT_DONE : Outcome.UNKNOWN, String.valueOf(failure));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/job/JobLedger.java
@@ -0,0 +1,280 @@
+package org.verbenawheel.job;
+
+import com.google.common.collect.ImmutableCollection;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.verbenawheel.codec.MalformedMessageException;
+import org.verbenawheel.codec.MessageCodec;
+import org.verbenawheel.job.JobCommands.AcceptJob;
+import org.verbenawheel.job.JobCommands.CancelJob;
+import org.verbenawheel.job.JobCommands.JobReply;
+import org.verbenawheel.job.JobCommands.RecordEnds;
+import org.verbenawheel.job.JobCommands.RecordStarts;
+import org.verbenawheel.job.JobCommands.RunEnd;
+import org.verbenawheel.job.JobCommands.RunStart;
+import org.verbenawheel.job.JobCommands.RunsRecorded;
+import org.verbenawheel.peer.MessageKinds;
+import org.verbenawheel.replication.ApplyContext;
+import org.verbenawheel.replication.CommandReply;
+import org.verbenawheel.replication.ControlCommand;
+import org.verbenawheel.replication.DamagedSnapshotException;
+import org.verbenawheel.replication.StatePart;
+
+/**
+ * Holds all jobs in the replicated state.
+ *
+ * <p>A task is bound to a worker here before the worker hears of it, and an end is noted here
+ * before the worker may forget it, so that whichever replica leads next knows of every run that may
+ * exist.
+ */
+public final class JobLedger implements StatePart {
+  private static final int SNAPSHOT_KIND = 1;
+
+  private final MessageCodec codec =
+      new MessageCodec(MessageKinds.builder().add(SNAPSHOT_KIND, JobImage.Jobs.class).build());
+  private final Duration retention;
+  private final Map<String, Job> jobs = new LinkedHashMap<>();
+  private final Map<String, Job> active = new LinkedHashMap<>();
+  private final Map<String, Map<TaskId, Task>> boundByWorker = new LinkedHashMap<>();
+  private final Deque<Job> ended = new ArrayDeque<>();
+
+  /**
+   * Makes an empty ledger.
+   *
+   * @param retention how long the outcome of an ended job is kept
+   */
+  public JobLedger(Duration retention) {
+    this.retention = retention;
+  }
+
+  /** Returns the job of an id. */
+  public Optional<Job> find(String job) {
+    return Optional.ofNullable(jobs.get(job));
+  }
+
+  /** Returns the task of a name. */
+  public Optional<Task> find(TaskId task) {
+    return find(task.job()).flatMap(job -> job.find(task));
+  }
+
+  /** Returns the jobs that have not ended, in the order of their acceptance. */
+  public Collection<Job> active() {
+    return Collections.unmodifiableCollection(active.values());
+  }
+
+  /** Returns the tasks that are bound to a worker. */
+  public ImmutableCollection<Task> boundTo(String worker) {
+    return ImmutableList.copyOf(boundByWorker.getOrDefault(worker, ImmutableMap.of()).values());
+  }
+
+  /** Returns the ids of the workers that tasks are bound to. */
+  public ImmutableSet<String> boundWorkers() {
+    return ImmutableSet.copyOf(boundByWorker.keySet());
+  }
+
+  /**
+   * Returns how many jobs of a queue have no started task.
+   *
+   * @param queue what callers address to reach the queue
+   */
+  public long pending(String queue) {
+    return active.values().stream()
+        .filter(job -> job.queue().equals(queue) && job.phase() == JobPhase.QUEUED)
+        .count();
+  }
+
+  @Override
+  public String name() {
+    return "jobs";
+  }
+
+  @Override
+  public ImmutableSet<Class<? extends ControlCommand>> commandKinds() {
+    return ImmutableSet.of(AcceptJob.class, CancelJob.class, RecordStarts.class, RecordEnds.class);
+  }
+
+  @Override
+  public CommandReply apply(ControlCommand command, ApplyContext context) {
+    Instant now = context.stateTime();
+    forgetOld(now);
+    if (command instanceof AcceptJob accept) {
+      return accept(accept, now);
+    } else if (command instanceof CancelJob cancel) {
+      return cancel(cancel, now);
+    } else if (command instanceof RecordStarts starts) {
+      starts.starts().forEach(this::start);
+    } else if (command instanceof RecordEnds ends) {
+      ends.ends().forEach(end -> end(end, now));
+    }
+    return new RunsRecorded();
+  }
+
+  private JobReply accept(AcceptJob accept, Instant now) {
+    if (!jobs.containsKey(accept.job())) {
+      Job job = new Job(accept, now);
+      jobs.put(job.id(), job);
+      active.put(job.id(), job);
+    }
+    return new JobReply(true);
+  }
+
+  private JobReply cancel(CancelJob cancel, Instant now) {
+    Optional<Job> job = find(cancel.job()).filter(known -> known.queue().equals(cancel.queue()));
+    job.filter(known -> !known.phase().isTerminal())
+        .ifPresent(known -> end(known, JobPhase.CANCELLED, now));
+    return new JobReply(job.isPresent());
+  }
+
+  private void start(RunStart start) {
+    TaskId.parse(start.task())
+        .flatMap(this::find)
+        .filter(task -> !task.job().phase().isTerminal())
+        .filter(task -> task.phase() == Task.Phase.WAITING && start.run() > task.run())
+        .ifPresent(task -> bind(task, start));
+  }
+
+  private void bind(Task task, RunStart start) {
+    task.bind(start.run(), start.worker());
+    task.job().onBound();
+    boundByWorker
+        .computeIfAbsent(start.worker(), worker -> new LinkedHashMap<>())
+        .put(task.id(), task);
+  }
+
+  private void end(RunEnd end, Instant now) {
+    TaskId.parse(end.task())
+        .flatMap(this::find)
+        .filter(task -> task.phase() == Task.Phase.BOUND && task.run() == end.run())
+        .ifPresent(task -> end(task, end, now));
+  }
+
+  private void end(Task task, RunEnd end, Instant now) {
+    unbind(task);
+    boolean finished = end.ending() == RunEnding.DONE && !task.step().longRunning();
+    if (finished) {
+      finish(task, now);
+    } else {
+      task.release(end.checkpoint());
+    }
+    if (end.ending().countsAsAttempt()) {
+      countFailure(task, now);
+    }
+  }
+
+  /** One member's good end stands for its whole gang. */
+  private void finish(Task task, Instant now) {
+    Job job = task.job();
+    ImmutableList<Task> members =
+        task.step().gang()
+            ? job.tasks(task.id().occurrence(), task.id().step())
+            : ImmutableList.of(task);
+    for (Task member : members) {
+      if (member.phase() == Task.Phase.BOUND && member != task) {
+        unbind(member);
+      }
+      if (member.phase() != Task.Phase.DONE) {
+        member.finish();
+        job.onTaskDone(member.id(), now);
+      }
+    }
+    if (job.phase().isTerminal()) {
+      retire(job);
+    }
+  }
+
+  private void countFailure(Task task, Instant now) {
+    Job job = task.job();
+    Task counted =
+        task.step().gang() ? job.tasks(task.id().occurrence(), task.id().step()).get(0) : task;
+    counted.countFailure(task.run());
+    boolean exhausted =
+        !task.step().longRunning() && counted.failures() >= job.limits().maximumAttempts();
+    if (exhausted && !job.phase().isTerminal()) {
+      end(job, JobPhase.FAILED, now);
+    }
+  }
+
+  private void end(Job job, JobPhase phase, Instant now) {
+    job.end(phase, now);
+    retire(job);
+  }
+
+  private void retire(Job job) {
+    if (active.remove(job.id()) != null) {
+      ended.add(job);
+    }
+  }
+
+  private void unbind(Task task) {
+    task.job().onReleased();
+    task.worker()
+        .ifPresent(
+            worker ->
+                boundByWorker.computeIfPresent(
+                    worker,
+                    (unused, tasks) -> {
+                      tasks.remove(task.id());
+                      return tasks.isEmpty() ? null : tasks;
+                    }));
+  }
+
+  private void forgetOld(Instant now) {
+    while (!ended.isEmpty() && ended.peekFirst().isForgettable(now, retention)) {
+      jobs.remove(ended.removeFirst().id());
+    }
+  }
+
+  @Override
+  public byte[] snapshot() {
+    ImmutableList.Builder<JobImage> images = ImmutableList.builder();
+    jobs.values().forEach(job -> images.add(job.image()));
+    return codec.encode(new JobImage.Jobs(images.build()));
+  }
+
+  @Override
+  public void restore(byte[] snapshot) throws DamagedSnapshotException {
+    jobs.clear();
+    active.clear();
+    ended.clear();
+    boundByWorker.clear();
+    try {
+      ((JobImage.Jobs) codec.decode(snapshot)).jobs().forEach(this::restore);
+    } catch (MalformedMessageException malformed) {
+      throw new DamagedSnapshotException(
+          "the jobs in the snapshot cannot be read; replace this replica", malformed);
+    }
+  }
+
+  private void restore(JobImage image) {
+    Job job = Job.restore(image);
+    jobs.put(job.id(), job);
+    if (job.phase().isTerminal()) {
+      ended.add(job);
+    } else {
+      active.put(job.id(), job);
+    }
+    for (Task task : job.allTasks()) {
+      task.worker()
+          .ifPresent(
+              worker ->
+                  boundByWorker
+                      .computeIfAbsent(worker, unused -> new LinkedHashMap<>())
+                      .put(task.id(), task));
+    }
+  }
+
+  @Override
+  public Object dump() {
+    return ImmutableMap.of("jobs", jobs.size(), "active", active.size(), "ended", ended.size());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/queue/InstallConfiguration.java
@@ -0,0 +1,10 @@
+package org.verbenawheel.queue;
+
+import org.verbenawheel.replication.ControlCommand;
+
+/**
+ * Puts a configuration in force, unless one with the same or a higher version is.
+ *
+ * @param configuration the checked configuration
+ */
+public record InstallConfiguration(FleetConfiguration configuration) implements ControlCommand {}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/queue/QueueRoute.java
@@ -0,0 +1,33 @@
+package org.verbenawheel.queue;
+
+/**
+ * A queue of jobs, and the pool whose workers run them.
+ *
+ * @param name the operators' name for the queue
+ * @param host the host name that callers address
+ * @param pathPrefix the path that callers address; the job's id follows it
+ * @param pool the pool whose workers run the queue's tasks
+ * @param timeoutMilliseconds how long a caller's request may take
+ * @param priority 0 is the most urgent
+ * @param maximumAttempts after so many failures of one task its job has failed
+ * @param stretch the objective's factor on the job's longest chain of work
+ * @param targetLatencyMilliseconds what the objective adds to the stretched chain
+ * @param needsAdvice whether the placement adviser must approve the workers of each step
+ */
+public record QueueRoute(
+    String name,
+    String host,
+    String pathPrefix,
+    String pool,
+    int timeoutMilliseconds,
+    int priority,
+    int maximumAttempts,
+    double stretch,
+    int targetLatencyMilliseconds,
+    boolean needsAdvice) {
+
+  /** Returns what callers address; no two queues of one configuration share it. */
+  public String place() {
+    return host + pathPrefix;
+  }
+}
--- a/core/src/main/java/org/verbenawheel/replication/Formation.java
+++ b/core/src/main/java/org/verbenawheel/replication/Formation.java
@@ -27,12 +27,18 @@
 
   private final ReplicaCore core;
   private final ImmutableSortedSet<ProcessId> initialVoters;
+  private final boolean mayFound;
   private final Map<ProcessId, Heard> emptyVoters = new HashMap<>();
   private Instant nextIntroduction;
 
-  Formation(ReplicaCore core, ImmutableSortedSet<ProcessId> initialVoters, Instant now) {
+  Formation(
+      ReplicaCore core,
+      ImmutableSortedSet<ProcessId> initialVoters,
+      boolean mayFound,
+      Instant now) {
     this.core = core;
     this.initialVoters = initialVoters;
+    this.mayFound = mayFound;
     this.nextIntroduction = now;
   }
 
@@ -62,7 +68,9 @@
   }
 
   private void foundIfAllAreEmpty(Instant now) {
-    if (core.cluster().isPresent() || !initialVoters.first().equals(core.self().process())) {
+    if (!mayFound
+        || core.cluster().isPresent()
+        || !initialVoters.first().equals(core.self().process())) {
       return;
     }
     emptyVoters.put(core.self().process(), new Heard(core.self().replica(), now));
--- a/core/src/main/java/org/verbenawheel/replication/Leadership.java
+++ b/core/src/main/java/org/verbenawheel/replication/Leadership.java
@@ -205,10 +205,15 @@
   /** Takes a read, which is answered once this replica is known to lead still. */
   void read(Instant now, long token) {
     reads.add(new PendingRead(token, round + 1));
+    startReadRound(now);
     answerReads(now);
-    if (!reads.isEmpty()) {
+  }
+
+  /** Asks the others for the reads that wait, unless a round that serves a read is under way. */
+  private void startReadRound(Instant now) {
+    boolean underWay = reads.stream().anyMatch(read -> read.round() <= round);
+    if (!reads.isEmpty() && !underWay) {
       sendHeartbeats(now);
-      answerReads(now);
     }
   }
 
@@ -216,8 +221,8 @@
     if (reads.isEmpty() || core.commitIndex() < termStartIndex) {
       return;
     }
-    long confirmed =
-        now.isBefore(leaseEnd()) ? Long.MAX_VALUE : agreed(PeerProgress::answeredRound, round);
+    // Not the lease: a suspended process's clock stands still, so its lease seems to hold after.
+    long confirmed = agreed(PeerProgress::answeredRound, round);
     ImmutableList<Long> answered =
         reads.stream()
             .filter(read -> read.round() <= confirmed)
@@ -226,6 +231,7 @@
     if (!answered.isEmpty()) {
       reads.removeIf(read -> read.round() <= confirmed);
       core.add(new Effect.AnswerReads(answered));
+      startReadRound(now);
     }
   }
 
--- a/core/src/main/java/org/verbenawheel/replication/Replica.java
+++ b/core/src/main/java/org/verbenawheel/replication/Replica.java
@@ -41,6 +41,7 @@
    *
    * @param self its process and its identity
    * @param initialVoters the processes that found the cluster; all replicas must be given the same
+   * @param mayFound whether it may found a cluster
    * @param timings the times that the cluster agrees on
    * @param random draws election timeouts
    * @param recovered what was on disk
@@ -49,6 +50,7 @@
   public Replica(
       Member self,
       ImmutableSortedSet<ProcessId> initialVoters,
+      boolean mayFound,
       ReplicationTimings timings,
       RandomGenerator random,
       RecoveredLog recovered,
@@ -58,7 +60,7 @@
     this.core = new ReplicaCore(self, timings, random, log, recovered.hardState(), now);
     this.follower = new Follower(core);
     this.election = new Election(core);
-    this.formation = new Formation(core, initialVoters, now);
+    this.formation = new Formation(core, initialVoters, mayFound, now);
     this.reported = new Standing(core.role(), core.term(), core.leader());
   }
 
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaProcess.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaProcess.java
@@ -164,6 +164,19 @@
     return status().filter(present -> present.mayDecide(clock.instant())).isPresent();
   }
 
+  /**
+   * Runs a task on the thread that owns the state, after all that was applied before. Does nothing
+   * while the replica is not started.
+   *
+   * @param task must not block
+   */
+  public void executeOnState(Runnable task) {
+    RunningReplica present = running;
+    if (present != null) {
+      present.executeOnState(task);
+    }
+  }
+
   /** Returns the state of this replica and its parts, for a person; empty while not started. */
   public CompletableFuture<Optional<ReplicaDump>> dump() {
     RunningReplica present = running;
@@ -217,6 +230,7 @@
     private final InstantSource clock;
     private final ImmutableList.Builder<StatePart> parts = ImmutableList.builder();
     private ImmutableSortedSet<ProcessId> initialVoters = ImmutableSortedSet.of();
+    private boolean mayFound = true;
     private ReplicationTimings timings = ReplicationTimings.DEFAULT;
     private Duration commandTimeout = DEFAULT_COMMAND_TIMEOUT;
     private int snapshotInterval = DEFAULT_SNAPSHOT_INTERVAL;
@@ -237,6 +251,15 @@
       return this;
     }
 
+    /**
+     * Sets whether this replica may found a cluster; off for a process that knows that there is
+     * one, so that a lost folder never takes part in a second founding.
+     */
+    public Builder mayFound(boolean value) {
+      mayFound = value;
+      return this;
+    }
+
     /** Sets the folder that holds the replica's files. */
     public Builder dataFolder(Path value) {
       return dataFolder(() -> DiskFolder.open(value));
@@ -311,7 +334,7 @@
     private ReplicaSettings settings() {
       checkState(!initialVoters.isEmpty(), "initialVoters not set");
       return new ReplicaSettings(
-          self, initialVoters, timings, commandTimeout, snapshotInterval, groupCommit);
+          self, initialVoters, mayFound, timings, commandTimeout, snapshotInterval, groupCommit);
     }
 
     private <T> T required(@Nullable T value, String name) {
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaSettings.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaSettings.java
@@ -9,6 +9,7 @@
  *
  * @param self its process
  * @param initialVoters the processes that found the cluster, and that may be members later
+ * @param mayFound whether this replica may found a cluster, or take part in the founding of one
  * @param timings the times that the cluster agrees on
  * @param commandTimeout how long a command may wait for its commit
  * @param snapshotInterval how many entries are applied between two snapshots
@@ -17,6 +18,7 @@
 record ReplicaSettings(
     ProcessId self,
     ImmutableSortedSet<ProcessId> initialVoters,
+    boolean mayFound,
     ReplicationTimings timings,
     Duration commandTimeout,
     int snapshotInterval,
--- a/core/src/main/java/org/verbenawheel/replication/RunningReplica.java
+++ b/core/src/main/java/org/verbenawheel/replication/RunningReplica.java
@@ -81,6 +81,7 @@
         new Replica(
             new Member(settings.self(), store.identity()),
             settings.initialVoters(),
+            settings.mayFound(),
             settings.timings(),
             new Random(),
             store.recovered(),
@@ -215,6 +216,11 @@
     return result;
   }
 
+  /** Runs a task on the thread that owns the state. */
+  void executeOnState(Runnable task) {
+    state.execute(task);
+  }
+
   /** Returns what the replica knew at its last tick. */
   ReplicaStatus status() {
     return status;
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/scheduling/WorkerRoom.java
@@ -0,0 +1,100 @@
+package org.verbenawheel.scheduling;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.verbenawheel.job.StepSpecification;
+import org.verbenawheel.job.Task;
+import org.verbenawheel.worker.Worker;
+
+/** What is free on one worker while one round of decisions is made. Not thread-safe. */
+public final class WorkerRoom {
+  private final Worker worker;
+  private final Map<StepKey, Integer> tasksOfStep = new HashMap<>();
+  private int freeMillicores;
+  private int freeMegabytes;
+  private int freeAccelerators;
+  private int servingTasks;
+  private int fillingTasks;
+
+  /** Makes the room of a worker on which nothing runs. */
+  public WorkerRoom(Worker worker) {
+    this.worker = worker;
+    this.freeMillicores = worker.capacity().cpuMillicores();
+    this.freeMegabytes = worker.capacity().memoryMegabytes();
+    this.freeAccelerators = worker.capacity().accelerators();
+  }
+
+  /** Returns an equal room, for trying a placement. */
+  WorkerRoom copy() {
+    WorkerRoom copy = new WorkerRoom(worker);
+    copy.tasksOfStep.putAll(tasksOfStep);
+    copy.freeMillicores = freeMillicores;
+    copy.freeMegabytes = freeMegabytes;
+    copy.freeAccelerators = freeAccelerators;
+    copy.servingTasks = servingTasks;
+    copy.fillingTasks = fillingTasks;
+    return copy;
+  }
+
+  /** Returns the worker. */
+  public Worker worker() {
+    return worker;
+  }
+
+  /** Returns the processor time that is free, in thousandths of a core. */
+  public int freeMillicores() {
+    return freeMillicores;
+  }
+
+  /** Takes the room of a task that is bound to the worker. */
+  public void take(Task task) {
+    StepSpecification step = task.step();
+    freeMillicores -= step.reservedMillicores();
+    freeMegabytes -= step.memoryMegabytes();
+    freeAccelerators -= step.accelerators();
+    tasksOfStep.merge(StepKey.of(task), 1, Integer::sum);
+    if (step.targetMilliseconds() > 0) {
+      servingTasks++;
+    }
+    if (step.fillsLeftover()) {
+      fillingTasks++;
+    }
+  }
+
+  /** Returns whether the worker may run one more task of a step. */
+  boolean admits(Task task) {
+    StepSpecification step = task.step();
+    boolean fits =
+        step.reservedMillicores() <= freeMillicores
+            && step.memoryMegabytes() <= freeMegabytes
+            && step.accelerators() <= freeAccelerators;
+    boolean labelled =
+        step.requiredLabel().isEmpty() || worker.labels().contains(step.requiredLabel());
+    boolean apart =
+        step.maximumPerWorker() == 0
+            || tasksOfStep.getOrDefault(StepKey.of(task), 0) < step.maximumPerWorker();
+    return fits && labelled && apart;
+  }
+
+  /**
+   * Returns how well the worker suits a task: higher is better. Tasks that fill keep away from
+   * tasks that serve, then from full workers.
+   */
+  long preferenceFor(StepSpecification step) {
+    long disturbed = 0;
+    if (step.fillsLeftover()) {
+      disturbed = servingTasks;
+    } else if (step.targetMilliseconds() > 0) {
+      disturbed = fillingTasks;
+    }
+    boolean near = step.preferredRack().isEmpty() || step.preferredRack().equals(worker.rack());
+    return (near ? 1L << 50 : 0) - (disturbed << 40) + freeMillicores;
+  }
+
+  /** Names a step of one occurrence of a job. */
+  private record StepKey(String job, int occurrence, int step) {
+    static StepKey of(Task task) {
+      return new StepKey(task.id().job(), task.id().occurrence(), task.id().step());
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenawheel/worker/WorkerRegistry.java
@@ -0,0 +1,92 @@
+package org.verbenawheel.worker;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.verbenawheel.codec.MalformedMessageException;
+import org.verbenawheel.codec.MessageCodec;
+import org.verbenawheel.peer.MessageKinds;
+import org.verbenawheel.peer.PeerMessage;
+import org.verbenawheel.replication.ApplyContext;
+import org.verbenawheel.replication.CommandReply;
+import org.verbenawheel.replication.ControlCommand;
+import org.verbenawheel.replication.DamagedSnapshotException;
+import org.verbenawheel.replication.StatePart;
+import org.verbenawheel.worker.WorkerCommands.ForgetWorker;
+import org.verbenawheel.worker.WorkerCommands.RecordWorker;
+import org.verbenawheel.worker.WorkerCommands.WorkersChanged;
+
+/** Holds the known workers in the replicated state, so that a new leader can command them. */
+public final class WorkerRegistry implements StatePart {
+  private static final int SNAPSHOT_KIND = 1;
+
+  private final MessageCodec codec =
+      new MessageCodec(MessageKinds.builder().add(SNAPSHOT_KIND, Image.class).build());
+  private final Map<String, Worker> workers = new LinkedHashMap<>();
+
+  /** Returns the worker with an id. */
+  public Optional<Worker> find(String id) {
+    return Optional.ofNullable(workers.get(id));
+  }
+
+  /** Returns all workers. */
+  public ImmutableList<Worker> all() {
+    return ImmutableList.copyOf(workers.values());
+  }
+
+  @Override
+  public String name() {
+    return "workers";
+  }
+
+  @Override
+  public ImmutableSet<Class<? extends ControlCommand>> commandKinds() {
+    return ImmutableSet.of(RecordWorker.class, ForgetWorker.class);
+  }
+
+  @Override
+  public CommandReply apply(ControlCommand command, ApplyContext context) {
+    if (command instanceof RecordWorker announced) {
+      record(announced.worker());
+    } else if (command instanceof ForgetWorker forgotten) {
+      find(forgotten.id())
+          .filter(known -> known.bornAtMilliseconds() <= forgotten.bornAtMilliseconds())
+          .ifPresent(known -> workers.remove(known.id()));
+    }
+    return new WorkersChanged();
+  }
+
+  private void record(Worker worker) {
+    Worker known = workers.get(worker.id());
+    if (known == null || known.bornAtMilliseconds() <= worker.bornAtMilliseconds()) {
+      workers.put(worker.id(), worker);
+    }
+  }
+
+  @Override
+  public byte[] snapshot() {
+    return codec.encode(new Image(all()));
+  }
+
+  @Override
+  public void restore(byte[] snapshot) throws DamagedSnapshotException {
+    workers.clear();
+    try {
+      ((Image) codec.decode(snapshot)).workers().forEach(this::record);
+    } catch (MalformedMessageException malformed) {
+      throw new DamagedSnapshotException(
+          "the workers in the snapshot cannot be read; replace this replica", malformed);
+    }
+  }
+
+  @Override
+  public Object dump() {
+    return ImmutableMap.copyOf(workers);
+  }
+
+  /** Holds the whole part in a snapshot. */
+  record Image(ImmutableList<Worker> workers) implements PeerMessage {}
+}
--- a/core/src/test/java/org/verbenawheel/replication/ImmediateReplicas.java
+++ b/core/src/test/java/org/verbenawheel/replication/ImmediateReplicas.java
@@ -42,7 +42,8 @@
       Member self = new Member(voter, ReplicaId.random());
       Random random = new Random(voter.hashCode());
       replicas.put(
-          voter, new Replica(self, voters, SeededNode.TIMINGS, random, RecoveredLog.EMPTY, now));
+          voter,
+          new Replica(self, voters, true, SeededNode.TIMINGS, random, RecoveredLog.EMPTY, now));
       effects.put(voter, new ArrayList<>());
       waiting.put(voter, new ArrayDeque<>());
     }
--- a/core/src/test/java/org/verbenawheel/replication/SeededNode.java
+++ b/core/src/test/java/org/verbenawheel/replication/SeededNode.java
@@ -76,6 +76,7 @@
     return new Replica(
         new Member(process, store.identity()),
         ImmutableSortedSet.copyOf(cluster.voters()),
+        true,
         TIMINGS,
         new Random(cluster.random().nextLong()),
         new RecoveredLog(hardState, recovered.snapshot(), recovered.entries()),
--- a/daemon/src/main/java/org/verbenawheel/daemon/HttpServerPart.java
+++ b/daemon/src/main/java/org/verbenawheel/daemon/HttpServerPart.java
@@ -15,6 +15,7 @@
 public final class HttpServerPart implements SupervisedPart {
   private final HostAndPort address;
   private final int maximumBodyBytes;
+  private final ImmutableMap<String, String> furtherAddresses;
   private final ImmutableList<Object> singletons;
   private @Nullable ApplicationContext context;
 
@@ -26,7 +27,24 @@
    * @param singletons what the controllers are given
    */
   public HttpServerPart(String address, int maximumBodyBytes, ImmutableList<Object> singletons) {
+    this(address, ImmutableMap.of(), maximumBodyBytes, singletons);
+  }
+
+  /**
+   * Makes a server that is not started and listens on several addresses.
+   *
+   * @param address the first address to listen on, as {@code ip:port}
+   * @param furtherAddresses other addresses, by a name for each
+   * @param maximumBodyBytes the largest request body read
+   * @param singletons what the controllers are given
+   */
+  public HttpServerPart(
+      String address,
+      ImmutableMap<String, String> furtherAddresses,
+      int maximumBodyBytes,
+      ImmutableList<Object> singletons) {
     this.address = HostAndPort.fromString(address);
+    this.furtherAddresses = furtherAddresses;
     this.maximumBodyBytes = maximumBodyBytes;
     this.singletons = singletons;
   }
@@ -66,7 +84,13 @@
   }
 
   private ImmutableMap<String, Object> properties() {
-    return ImmutableMap.<String, Object>builder()
+    ImmutableMap.Builder<String, Object> properties = ImmutableMap.builder();
+    if (!furtherAddresses.isEmpty()) {
+      addListener(properties, "first", address);
+      furtherAddresses.forEach(
+          (name, further) -> addListener(properties, name, HostAndPort.fromString(further)));
+    }
+    return properties
         .put("micronaut.application.name", "verbenawheel")
         .put("micronaut.server.host", address.getHost())
         .put("micronaut.server.port", address.getPort())
@@ -79,4 +103,10 @@
         .put("netty.default.allocator.max-order", 3)
         .build();
   }
+
+  private static void addListener(
+      ImmutableMap.Builder<String, Object> properties, String name, HostAndPort listened) {
+    String prefix = "micronaut.server.netty.listeners." + name;
+    properties.put(prefix + ".host", listened.getHost()).put(prefix + ".port", listened.getPort());
+  }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -0,0 +1,227 @@
+package org.verbenawheel.fleet;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.verbenawheel.daemon.PartDumps;
+import org.verbenawheel.execution.FleetLeadership;
+import org.verbenawheel.execution.WorkerCalls;
+import org.verbenawheel.gateway.QueueAnswer;
+import org.verbenawheel.gateway.QueueAnswer.Outcome;
+import org.verbenawheel.gateway.QueueCall;
+import org.verbenawheel.gateway.QueueService;
+import org.verbenawheel.identity.ProcessId;
+import org.verbenawheel.job.JobLedger;
+import org.verbenawheel.peer.PeerHandler;
+import org.verbenawheel.peer.PeerMessage;
+import org.verbenawheel.queue.ConfigurationInstalled;
+import org.verbenawheel.queue.FleetConfiguration;
+import org.verbenawheel.queue.FleetConfigurationState;
+import org.verbenawheel.queue.InstallConfiguration;
+import org.verbenawheel.replication.CommandEnvelope;
+import org.verbenawheel.replication.CommandReply;
+import org.verbenawheel.replication.ControlCommand;
+import org.verbenawheel.replication.Member;
+import org.verbenawheel.replication.NotLeaderException;
+import org.verbenawheel.replication.ReplicaProcess;
+import org.verbenawheel.replication.ReplicaStatus;
+import org.verbenawheel.replication.ReplicationTimings;
+import org.verbenawheel.supervision.SupervisedPart;
+import org.verbenawheel.wire.PeerNode;
+import org.verbenawheel.worker.Worker;
+import org.verbenawheel.worker.WorkerRegistry;
+
+/**
+ * One control process of a fleet deployment: a replica and, while it leads, the workers' leader.
+ */
+public final class FleetControl implements PeerHandler {
+  private static final Duration COMMAND_TIMEOUT = Duration.ofSeconds(3);
+  private static final int SNAPSHOT_EVERY_ENTRIES = 5_000;
+  private static final ReplicationTimings REPLICATION =
+      new ReplicationTimings(
+          Duration.ofMillis(150), Duration.ofMillis(900), Duration.ofMillis(720));
+
+  private final FleetSettings settings;
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final FleetConfigurationState configuration = new FleetConfigurationState();
+  private final WorkerRegistry workers = new WorkerRegistry();
+  private final JobLedger jobs;
+  private final PeerNode peers;
+  private final ReplicaProcess replica;
+  private final QueueService queues;
+  private final LeaderLoop loop;
+  private volatile boolean draining;
+
+  /**
+   * Puts a control process together.
+   *
+   * @param settings what the process is told
+   * @param dataFolder where its files live
+   * @param clock tells instants that never go back
+   * @param calls sends orders to workers
+   */
+  public FleetControl(
+      FleetSettings settings, Path dataFolder, InstantSource clock, WorkerCalls calls) {
+    this.settings = settings;
+    this.jobs = new JobLedger(settings.jobRetention());
+    this.peers = FleetPeers.of(settings, clock);
+    this.replica =
+        ReplicaProcess.builder(settings.process(), clock)
+            .initialVoters(settings.seeds())
+            .mayFound(settings.mayFound())
+            .dataFolder(dataFolder)
+            .links(peers)
+            .codec(FleetMessages.CODEC)
+            .addPart(configuration)
+            .addPart(workers)
+            .addPart(jobs)
+            .timings(REPLICATION)
+            .commandTimeout(COMMAND_TIMEOUT)
+            .snapshotInterval(SNAPSHOT_EVERY_ENTRIES)
+            .build();
+    this.queues = new QueueService(configuration, jobs, this::commit);
+    FleetLeadership.Builder leaderships =
+        new FleetLeadership.Builder(
+            jobs,
+            workers,
+            configuration,
+            this::commit,
+            calls,
+            settings.execution(),
+            clock,
+            System::currentTimeMillis,
+            replica::executeOnState);
+    this.loop = new LeaderLoop(replica, clock, leaderships::begin);
+    peers.addHandler(replica);
+    peers.addHandler(this);
+  }
+
+  /** Returns the parts to supervise, in the order of their start. */
+  public ImmutableList<SupervisedPart> parts() {
+    return ImmutableList.of(peers, replica, loop);
+  }
+
+  /** Takes no new work; the parts end in order when the tree stops. */
+  public void drain() {
+    draining = true;
+  }
+
+  /** Returns the metrics of this process. */
+  public MetricRegistry metrics() {
+    return metrics;
+  }
+
+  /** Returns the state of this process for a person. */
+  public Object dump() {
+    return ImmutableMap.of(
+        "process", settings.process(), "replica", PartDumps.orNoAnswer(replica.dump()));
+  }
+
+  /** Returns the process that leads, if it is known and another one. */
+  public Optional<ProcessId> leaderElsewhere() {
+    return replica
+        .status()
+        .flatMap(ReplicaStatus::leader)
+        .filter(leader -> !leader.equals(settings.process()));
+  }
+
+  /**
+   * Puts a configuration in force unless a version at least as high is.
+   *
+   * @param wanted a configuration without problems
+   * @return done once it is committed; or fails, for example with {@link NotLeaderException}
+   */
+  public CompletableFuture<CommandReply> install(FleetConfiguration wanted) {
+    return leading(
+        leadership ->
+            isInForce(wanted.version())
+                ? CompletableFuture.completedFuture(new ConfigurationInstalled(wanted.version()))
+                : commit(new InstallConfiguration(wanted)));
+  }
+
+  private boolean isInForce(long version) {
+    return configuration.current().filter(present -> present.version() >= version).isPresent();
+  }
+
+  /** Returns the configuration in force; or fails with {@link NotLeaderException}. */
+  public CompletableFuture<Optional<FleetConfiguration>> readConfiguration() {
+    return replica.read(configuration::current);
+  }
+
+  /** Takes a worker's report of itself; done once it is committed. */
+  public CompletableFuture<Object> onWorkerReport(
+      Worker worker, long sequence, Optional<Long> clockMilliseconds) {
+    return leading(
+        leadership -> leadership.onReport(worker, sequence, clockMilliseconds).thenApply(x -> ""));
+  }
+
+  /** Takes a worker's word that it ends; done once it is committed. */
+  public CompletableFuture<Object> onWorkerLeave(String id, Optional<Long> bornAtMilliseconds) {
+    return leading(leadership -> leadership.onLeave(id, bornAtMilliseconds).thenApply(x -> ""));
+  }
+
+  /** Runs an action on the state thread once a quorum confirmed that this process leads. */
+  private <T> CompletableFuture<T> leading(Function<FleetLeadership, CompletableFuture<T>> action) {
+    return replica
+        .read(
+            () ->
+                loop.leadership()
+                    .map(action)
+                    .orElseGet(() -> CompletableFuture.failedFuture(notLeading())))
+        .thenCompose(result -> result);
+  }
+
+  private NotLeaderException notLeading() {
+    return new NotLeaderException(leaderElsewhere());
+  }
+
+  private CompletableFuture<CommandReply> commit(ControlCommand command) {
+    return replica.submitAsLeader(new CommandEnvelope(Optional.empty(), command));
+  }
+
+  @Override
+  public void onMessage(ProcessId from, PeerMessage message) {}
+
+  @Override
+  public Optional<CompletableFuture<PeerMessage>> onRequest(ProcessId from, PeerMessage message) {
+    return message instanceof QueueCall call ? Optional.of(answer(call)) : Optional.empty();
+  }
+
+  private CompletableFuture<PeerMessage> answer(QueueCall call) {
+    if (draining || !replica.mayDecide()) {
+      return CompletableFuture.completedFuture(notLeaderAnswer());
+    }
+    return replica
+        .read(() -> queues.answer(call))
+        .thenCompose(answer -> answer)
+        .<PeerMessage>thenApply(this::scheduleIfAccepted)
+        .exceptionally(notConfirmed -> notLeaderAnswer());
+  }
+
+  private QueueAnswer scheduleIfAccepted(QueueAnswer answer) {
+    if (answer.outcome() == Outcome.ACCEPTED) {
+      replica.executeOnState(() -> loop.leadership().ifPresent(FleetLeadership::schedule));
+    }
+    return answer;
+  }
+
+  private QueueAnswer notLeaderAnswer() {
+    ImmutableList<ProcessId> controls =
+        replica
+            .status()
+            .flatMap(ReplicaStatus::members)
+            .map(
+                members ->
+                    members.voters().stream()
+                        .map(Member::process)
+                        .collect(ImmutableList.toImmutableList()))
+            .orElse(ImmutableList.of());
+    return QueueAnswer.notLeader(leaderElsewhere(), controls);
+  }
+}
--- a/wire/src/main/java/org/verbenawheel/wire/Handshake.java
+++ b/wire/src/main/java/org/verbenawheel/wire/Handshake.java
@@ -2,7 +2,6 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
-import com.google.common.collect.ImmutableSet;
 import java.security.MessageDigest;
 import java.util.Optional;
 import org.verbenawheel.identity.ProcessId;
@@ -47,7 +46,7 @@
 
   /** Returns the handshake of the end that took the connection. */
   static Handshake accepting(
-      SharedSecret secret, String nonce, ProcessId self, ImmutableSet<ProcessId> knownPeers) {
+      SharedSecret secret, String nonce, ProcessId self, PeerDirectory knownPeers) {
     return new Accepting(secret, nonce, self, knownPeers);
   }
 
@@ -126,11 +125,10 @@
 
   private static final class Accepting extends Handshake {
     private final ProcessId self;
-    private final ImmutableSet<ProcessId> knownPeers;
+    private final PeerDirectory knownPeers;
     private Optional<Hello> hello = Optional.empty();
 
-    Accepting(
-        SharedSecret secret, String nonce, ProcessId self, ImmutableSet<ProcessId> knownPeers) {
+    Accepting(SharedSecret secret, String nonce, ProcessId self, PeerDirectory knownPeers) {
       super(secret, nonce);
       this.self = self;
       this.knownPeers = knownPeers;
@@ -166,7 +164,7 @@
                 + " in the settings of "
                 + opened.from());
       }
-      if (!knownPeers.contains(opened.from())) {
+      if (knownPeers.addressOf(opened.from()).isEmpty()) {
         throw new HandshakeRefusedException(
             "unknown process "
                 + opened.from()
--- a/wire/src/main/java/org/verbenawheel/wire/NodeContext.java
+++ b/wire/src/main/java/org/verbenawheel/wire/NodeContext.java
@@ -1,6 +1,5 @@
 package org.verbenawheel.wire;
 
-import com.google.common.collect.ImmutableSet;
 import java.security.SecureRandom;
 import java.time.InstantSource;
 import java.util.HexFormat;
@@ -10,7 +9,7 @@
  * What the connections of one running {@link PeerNode} share.
  *
  * @param self this process
- * @param peers the processes that may connect
+ * @param peers tells the processes that may connect
  * @param secret the shared secret
  * @param clock tells the time
  * @param timings how connections are timed
@@ -21,7 +20,7 @@
  */
 record NodeContext(
     ProcessId self,
-    ImmutableSet<ProcessId> peers,
+    PeerDirectory peers,
     SharedSecret secret,
     InstantSource clock,
     PeerTimings timings,
--- a/wire/src/main/java/org/verbenawheel/wire/PeerNodeBuilder.java
+++ b/wire/src/main/java/org/verbenawheel/wire/PeerNodeBuilder.java
@@ -2,11 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.Maps;
 import java.net.InetSocketAddress;
 import java.time.InstantSource;
 import java.util.Map;
+import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.verbenawheel.identity.ProcessId;
 import org.verbenawheel.peer.MessageKinds;
@@ -17,7 +16,7 @@
   private @Nullable ProcessId self;
   private @Nullable InetSocketAddress listenAddress;
   private @Nullable SharedSecret secret;
-  private ImmutableMap<ProcessId, InetSocketAddress> peers = ImmutableMap.of();
+  private PeerDirectory peers = process -> Optional.empty();
   private MessageKinds kinds = MessageKinds.builder().build();
   private InstantSource clock = MonotonicInstantSource.startingNow();
   private PeerTimings timings = PeerTimings.DEFAULT;
@@ -54,9 +53,16 @@
    * @throws IllegalArgumentException if a text is no such address
    */
   public PeerNodeBuilder peers(Map<ProcessId, String> addresses) {
-    ImmutableMap.Builder<ProcessId, InetSocketAddress> parsed = ImmutableMap.builder();
-    addresses.forEach((peer, address) -> parsed.put(peer, PeerAddresses.parse(address)));
-    this.peers = parsed.buildOrThrow();
+    return peers(PeerDirectory.of(addresses));
+  }
+
+  /**
+   * Sets what tells the processes to talk to; only these may connect.
+   *
+   * @param directory looked up at each connection
+   */
+  public PeerNodeBuilder peers(PeerDirectory directory) {
+    this.peers = directory;
     return this;
   }
 
@@ -131,7 +137,7 @@
         new PeerNodeSettings(
             process,
             checkNotNull(listenAddress, "give the address with listenAddress()"),
-            ImmutableMap.copyOf(Maps.filterKeys(peers, peer -> !peer.equals(process))),
+            peers,
             checkNotNull(secret, "give the shared secret with secret()"),
             kinds,
             clock,
--- a/wire/src/main/java/org/verbenawheel/wire/PeerNodeSettings.java
+++ b/wire/src/main/java/org/verbenawheel/wire/PeerNodeSettings.java
@@ -1,6 +1,5 @@
 package org.verbenawheel.wire;
 
-import com.google.common.collect.ImmutableMap;
 import java.net.InetSocketAddress;
 import java.time.InstantSource;
 import org.verbenawheel.identity.ProcessId;
@@ -11,7 +10,7 @@
  *
  * @param self this process
  * @param listenAddress where peers connect to
- * @param peers the addresses of the other processes
+ * @param peers tells the addresses of the other processes
  * @param secret the secret that all processes share
  * @param kinds the kinds of message that may pass
  * @param clock tells instants that never go back
@@ -22,7 +21,7 @@
 record PeerNodeSettings(
     ProcessId self,
     InetSocketAddress listenAddress,
-    ImmutableMap<ProcessId, InetSocketAddress> peers,
+    PeerDirectory peers,
     SharedSecret secret,
     MessageKinds kinds,
     InstantSource clock,
--- a/wire/src/main/java/org/verbenawheel/wire/RunningNode.java
+++ b/wire/src/main/java/org/verbenawheel/wire/RunningNode.java
@@ -1,14 +1,14 @@
 package org.verbenawheel.wire;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -20,7 +20,8 @@
   private static final long DUMP_TIMEOUT_MILLISECONDS = 1000;
 
   private final NodeContext node;
-  private final ImmutableMap<ProcessId, PeerLink> links;
+  private final MessageCodec codec;
+  private final Map<ProcessId, PeerLink> links = new ConcurrentHashMap<>();
   private final IncomingConnections incoming;
   private final CountDownLatch drained = new CountDownLatch(1);
   private Instant lastTickAt;
@@ -42,7 +43,7 @@
     this.node =
         new NodeContext(
             settings.self(),
-            ImmutableSet.copyOf(settings.peers().keySet()),
+            settings.peers(),
             settings.secret(),
             settings.clock(),
             settings.timings(),
@@ -50,20 +51,26 @@
             settings.maximumQueueBytes(),
             loop,
             counters);
+    this.codec = codec;
     this.lastTickAt = node.clock().instant();
     this.incoming =
         new IncomingConnections(node, codec, delivery, settings.listenAddress(), this::onPeerSeen);
-    ImmutableMap.Builder<ProcessId, PeerLink> opened = ImmutableMap.builder();
-    for (var peer : settings.peers().entrySet()) {
-      opened.put(peer.getKey(), new PeerLink(node, peer.getKey(), peer.getValue(), codec));
-    }
-    this.links = opened.buildOrThrow();
     loop.start();
   }
 
-  /** Returns the link to a peer; empty if the settings do not name it. */
+  /** Returns the link to a peer; empty if no such process belongs to the deployment. */
   Optional<PeerLink> link(ProcessId peer) {
-    return Optional.ofNullable(links.get(peer));
+    Optional<PeerLink> known = Optional.ofNullable(links.get(peer));
+    if (known.isPresent() || peer.equals(node.self())) {
+      return known;
+    }
+    return node.peers()
+        .addressOf(peer)
+        .map(address -> links.computeIfAbsent(peer, wanted -> newLink(wanted, address)));
+  }
+
+  private PeerLink newLink(ProcessId peer, InetSocketAddress address) {
+    return new PeerLink(node, peer, address, codec);
   }
 
   InetSocketAddress listenAddress() {
