Carry out maintenance waves on the platform's hosts

Change: waves in the replicated state; the leader empties one worker a pool at a time (more only as the deadline asks), stops lasting tasks only while no more others of their step are away than the step allows, commits each order before it sends it, and waits out the order lease after a change of leader.

--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -29,6 +29,7 @@
 import org.verbenawheel.queue.QueueRoute;
 import org.verbenawheel.scheduling.JobScheduler;
 import org.verbenawheel.scheduling.WorkerRoom;
+import org.verbenawheel.wave.WaveLedger;
 import org.verbenawheel.worker.Worker;
 import org.verbenawheel.worker.WorkerCommands.ForgetWorker;
 import org.verbenawheel.worker.WorkerCommands.RecordWorker;
@@ -52,6 +53,8 @@
   private final JobScheduler scheduler;
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
   private final Map<String, Long> lastReportSequence = new LinkedHashMap<>();
+  private final Evacuations evacuations;
+  private final WaveController waves;
   private boolean bindingUnderWay;
   private boolean roundWanted;
   private boolean ended;
@@ -72,6 +75,16 @@
             term * FENCING_TOKENS_PER_TERM,
             builder.clock.instant());
     this.scheduler = new JobScheduler(this::poolOf);
+    this.evacuations = new Evacuations(context, sessions, this::isIdlePool, this::onWorkerEnded);
+    this.waves =
+        new WaveController(
+            context,
+            builder.waves,
+            builder.sink,
+            builder.hostCalls,
+            new HostCalls.Authority(builder.process, term),
+            builder.waveTimings,
+            evacuations);
     registry.all().forEach(worker -> sessions.put(worker.id(), new WorkerSession(context, worker)));
     logger.atInfo().log(
         "%s",
@@ -90,7 +103,11 @@
    * @param configuration the queues and pools
    * @param sink commits the leader's commands
    * @param calls sends orders to workers
+   * @param hostCalls sends orders about hosts to the platform
+   * @param waves the maintenance waves
+   * @param process this process
    * @param timings how orders are timed
+   * @param waveTimings how maintenance waves are timed
    * @param clock tells instants that never go back
    * @param timeOfDayMilliseconds tells the time of day in milliseconds since 1970
    * @param stateThread the thread that owns the state
@@ -101,7 +118,11 @@
       FleetConfigurationState configuration,
       CommandSink sink,
       WorkerCalls calls,
+      HostCalls hostCalls,
+      WaveLedger waves,
+      String process,
       ExecutionTimings timings,
+      WaveTimings waveTimings,
       InstantSource clock,
       LongSupplier timeOfDayMilliseconds,
       Executor stateThread) {
@@ -126,6 +147,7 @@
       }
     }
     releaseOrphans();
+    waves.onTick(now);
     schedule();
   }
 
@@ -296,7 +318,7 @@
   private List<WorkerRoom> rooms(Instant now) {
     List<WorkerRoom> rooms = new ArrayList<>();
     for (WorkerSession session : sessions.values()) {
-      if (session.takesTasks(now)) {
+      if (session.takesTasks(now) && !evacuations.isCordoned(session.worker().id())) {
         WorkerRoom room = new WorkerRoom(session.worker());
         context.ledger().boundTo(session.worker().id()).forEach(room::take);
         rooms.add(room);
@@ -345,6 +367,14 @@
     session.start(task.get(), Optional.empty());
   }
 
+  private boolean isIdlePool(String pool) {
+    return configuration.current().filter(present -> present.isStandby(pool)).isPresent();
+  }
+
+  private void onWorkerEnded(String id) {
+    registry.find(id).ifPresent(worker -> forget(worker, "its host went down as ordered"));
+  }
+
   /** Returns the pool that runs a job's queue now; the one at its acceptance if the queue left. */
   private String poolOf(Job job) {
     return configuration
--- a/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
@@ -379,6 +379,11 @@
     stopsWanted.add(task);
   }
 
+  /** Returns whether a run is to be stopped. */
+  boolean isStopping(TaskId task) {
+    return stopsWanted.contains(task);
+  }
+
   private void sendStops(ImmutableList<Task> bound, Instant now) {
     for (Task task : bound) {
       boolean wanted = task.job().phase().isTerminal() || stopsWanted.contains(task.id());
--- a/core/src/main/java/org/verbenawheel/gateway/GatewayMessages.java
+++ b/core/src/main/java/org/verbenawheel/gateway/GatewayMessages.java
@@ -4,6 +4,7 @@
 import org.verbenawheel.peer.MessageKinds;
 import org.verbenawheel.queue.ConfigurationInstalled;
 import org.verbenawheel.queue.InstallConfiguration;
+import org.verbenawheel.wave.WaveCommands;
 import org.verbenawheel.worker.WorkerCommands;
 
 /** The numbers of the messages of jobs, workers and queues. */
@@ -24,6 +25,9 @@
           .add(622, WorkerCommands.WorkersChanged.class)
           .add(630, InstallConfiguration.class)
           .add(631, ConfigurationInstalled.class)
+          .add(640, WaveCommands.StartWave.class)
+          .add(641, WaveCommands.RecordUpkeep.class)
+          .add(642, WaveCommands.WavesChanged.class)
           .build();
 
   private GatewayMessages() {}
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 import org.verbenawheel.daemon.PartDumps;
 import org.verbenawheel.execution.FleetLeadership;
+import org.verbenawheel.execution.HostCalls;
 import org.verbenawheel.execution.WorkerCalls;
 import org.verbenawheel.gateway.QueueAnswer;
 import org.verbenawheel.gateway.QueueAnswer.Outcome;
@@ -33,6 +34,9 @@
 import org.verbenawheel.replication.ReplicaStatus;
 import org.verbenawheel.replication.ReplicationTimings;
 import org.verbenawheel.supervision.SupervisedPart;
+import org.verbenawheel.wave.Wave;
+import org.verbenawheel.wave.WaveCommands.StartWave;
+import org.verbenawheel.wave.WaveLedger;
 import org.verbenawheel.wire.PeerNode;
 import org.verbenawheel.worker.Worker;
 import org.verbenawheel.worker.WorkerRegistry;
@@ -51,6 +55,7 @@
   private final MetricRegistry metrics = new MetricRegistry();
   private final FleetConfigurationState configuration = new FleetConfigurationState();
   private final WorkerRegistry workers = new WorkerRegistry();
+  private final WaveLedger waves = new WaveLedger();
   private final JobLedger jobs;
   private final PeerNode peers;
   private final ReplicaProcess replica;
@@ -65,9 +70,14 @@
    * @param dataFolder where its files live
    * @param clock tells instants that never go back
    * @param calls sends orders to workers
+   * @param hostCalls sends orders about hosts to the platform
    */
   public FleetControl(
-      FleetSettings settings, Path dataFolder, InstantSource clock, WorkerCalls calls) {
+      FleetSettings settings,
+      Path dataFolder,
+      InstantSource clock,
+      WorkerCalls calls,
+      HostCalls hostCalls) {
     this.settings = settings;
     this.jobs = new JobLedger(settings.jobRetention());
     this.peers = FleetPeers.of(settings, clock);
@@ -81,6 +91,7 @@
             .addPart(configuration)
             .addPart(workers)
             .addPart(jobs)
+            .addPart(waves)
             .timings(REPLICATION)
             .commandTimeout(COMMAND_TIMEOUT)
             .snapshotInterval(SNAPSHOT_EVERY_ENTRIES)
@@ -93,7 +104,11 @@
             configuration,
             this::commit,
             calls,
+            hostCalls,
+            waves,
+            settings.process().value(),
             settings.execution(),
+            settings.waves(),
             clock,
             System::currentTimeMillis,
             replica::executeOnState);
@@ -154,6 +169,16 @@
     return replica.read(configuration::current);
   }
 
+  /** Stores a maintenance wave; done once it is committed. */
+  public CompletableFuture<CommandReply> startWave(StartWave wave) {
+    return leading(leadership -> commit(wave));
+  }
+
+  /** Returns the wave of a number; or fails with {@link NotLeaderException}. */
+  public CompletableFuture<Optional<Wave>> readWave(long number) {
+    return replica.read(() -> waves.find(number));
+  }
+
   /** Takes a worker's report of itself; done once it is committed. */
   public CompletableFuture<Object> onWorkerReport(
       Worker worker, long sequence, Optional<Long> clockMilliseconds) {
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetSettings.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetSettings.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import org.verbenawheel.execution.ExecutionTimings;
+import org.verbenawheel.execution.WaveTimings;
 import org.verbenawheel.identity.ProcessId;
 
 /**
@@ -13,6 +14,7 @@
  * @param mayFound whether the deployment starts for the first time
  * @param sharedSecret the text that all processes of the deployment share
  * @param execution how workers are commanded
+ * @param waves how maintenance waves are timed
  * @param jobRetention how long the outcome of an ended job is kept
  */
 public record FleetSettings(
@@ -21,4 +23,5 @@
     boolean mayFound,
     String sharedSecret,
     ExecutionTimings execution,
+    WaveTimings waves,
     Duration jobRetention) {}
