Lend spare hosts, admit newcomers through followers, survive a hangup signal

Followers pass an introduction on now (JoiningReplicaTest, failing before). A sixth replica waits as a learner until a voter has been silent for 2.5 s. - SIGHUP ended the virtual machine. It now reads the settings again. - A failed look granted a longer lease each time, so a lost worker's tasks were never released; and failures came wrapped, so NOT_RUN was never seen. - Two workers of one host were kept side by side after a move. Change besides: hosts of a standby pool are lent to pools whose tasks wait. Ruled out for the lease: a bound on retries (the lease itself was the fault).

--- a/core/src/main/java/org/verbenawheel/execution/FleetContext.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetContext.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
 import org.jspecify.annotations.Nullable;
@@ -39,6 +40,12 @@
       CompletableFuture<T> call, BiConsumer<@Nullable T, @Nullable Throwable> outcome) {
     var unused =
         call.whenComplete(
-            (value, failure) -> stateThread.execute(() -> outcome.accept(value, failure)));
+            (value, failure) -> stateThread.execute(() -> outcome.accept(value, causeOf(failure))));
+  }
+
+  /** Returns what went wrong, without the wrapping that dependent stages add. */
+  private static @Nullable Throwable causeOf(@Nullable Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : null;
+    return cause == null ? failure : cause;
   }
 }
--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -1,6 +1,10 @@
 package org.verbenawheel.execution;
 
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.flogger.FluentLogger;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -27,8 +31,10 @@
 import org.verbenawheel.job.TaskId;
 import org.verbenawheel.queue.FleetConfigurationState;
 import org.verbenawheel.queue.QueueRoute;
+import org.verbenawheel.scheduling.Decision;
 import org.verbenawheel.scheduling.JobScheduler;
 import org.verbenawheel.scheduling.WorkerRoom;
+import org.verbenawheel.wave.UpkeepPhase;
 import org.verbenawheel.wave.WaveLedger;
 import org.verbenawheel.worker.Worker;
 import org.verbenawheel.worker.WorkerCommands.ForgetWorker;
@@ -55,6 +61,9 @@
   private final Map<String, Long> lastReportSequence = new LinkedHashMap<>();
   private final Evacuations evacuations;
   private final WaveController waves;
+  private final WaveLedger waveLedger;
+  private final HostMover mover;
+  private ImmutableMap<String, Long> shortages = ImmutableMap.of();
   private boolean bindingUnderWay;
   private boolean roundWanted;
   private boolean ended;
@@ -76,15 +85,26 @@
             builder.clock.instant());
     this.scheduler = new JobScheduler(this::poolOf);
     this.evacuations = new Evacuations(context, sessions, this::isIdlePool, this::onWorkerEnded);
+    HostCalls.Authority authority = new HostCalls.Authority(builder.process, term);
+    this.waveLedger = builder.waves;
     this.waves =
         new WaveController(
             context,
             builder.waves,
             builder.sink,
             builder.hostCalls,
-            new HostCalls.Authority(builder.process, term),
+            authority,
             builder.waveTimings,
             evacuations);
+    this.mover =
+        new HostMover(
+            context,
+            builder.configuration,
+            sessions,
+            builder.hostCalls,
+            authority,
+            builder.moveTimings,
+            this::onWorkerEnded);
     registry.all().forEach(worker -> sessions.put(worker.id(), new WorkerSession(context, worker)));
     logger.atInfo().log(
         "%s",
@@ -108,6 +128,7 @@
    * @param process this process
    * @param timings how orders are timed
    * @param waveTimings how maintenance waves are timed
+   * @param moveTimings how moves of hosts are timed
    * @param clock tells instants that never go back
    * @param timeOfDayMilliseconds tells the time of day in milliseconds since 1970
    * @param stateThread the thread that owns the state
@@ -123,6 +144,7 @@
       String process,
       ExecutionTimings timings,
       WaveTimings waveTimings,
+      MoveTimings moveTimings,
       InstantSource clock,
       LongSupplier timeOfDayMilliseconds,
       Executor stateThread) {
@@ -143,12 +165,21 @@
     for (WorkerSession session : ImmutableList.copyOf(sessions.values())) {
       session.onTick(now);
       if (session.isForgettable(now)) {
-        forget(session.worker(), "silent");
+        dismiss(session.worker(), "silent");
       }
     }
     releaseOrphans();
     waves.onTick(now);
     schedule();
+    mover.onTick(now, shortages, hostsInMaintenance());
+  }
+
+  private ImmutableSet<String> hostsInMaintenance() {
+    return waveLedger.running().stream()
+        .flatMap(wave -> wave.hosts().entrySet().stream())
+        .filter(host -> host.getValue() != UpkeepPhase.FINISHED)
+        .map(Map.Entry::getKey)
+        .collect(toImmutableSet());
   }
 
   /** Releases runs that were bound to a worker just as it was forgotten; it never heard of them. */
@@ -222,19 +253,22 @@
 
   /** Returns whether a worker that was born later has the address: the report came late. */
   private boolean isSuperseded(Worker reported) {
-    return othersAtAddressOf(reported)
+    return rivalsOf(reported)
         .anyMatch(other -> other.bornAtMilliseconds() >= reported.bornAtMilliseconds());
   }
 
-  private Stream<Worker> othersAtAddressOf(Worker reported) {
+  /** Returns the workers that cannot live beside this one: a host and an address have one each. */
+  private Stream<Worker> rivalsOf(Worker reported) {
     return registry.all().stream()
+        .filter(other -> !other.id().equals(reported.id()))
         .filter(
             other ->
-                other.address().equals(reported.address()) && !other.id().equals(reported.id()));
+                other.address().equals(reported.address())
+                    || (!other.host().isEmpty() && other.host().equals(reported.host())));
   }
 
   private void endPredecessors(Worker reported) {
-    othersAtAddressOf(reported).forEach(other -> forget(other, "its address has a new worker"));
+    rivalsOf(reported).forEach(other -> dismiss(other, "its host or address has a new worker"));
   }
 
   private void takeReport(Worker reported, Optional<Long> clockMilliseconds) {
@@ -265,6 +299,17 @@
         .orElseGet(() -> CompletableFuture.completedFuture(null));
   }
 
+  private void dismiss(Worker worker, String reason) {
+    context.whenDone(
+        forget(worker, reason),
+        (reply, failure) -> {
+          if (failure != null) {
+            logger.atWarning().withCause(failure).log(
+                "%s", EventLine.of(Event.WORKER_FORGOTTEN).with("worker", worker.id()));
+          }
+        });
+  }
+
   private CompletableFuture<?> forget(Worker worker, String reason) {
     WorkerSession session = sessions.remove(worker.id());
     if (session != null) {
@@ -295,9 +340,11 @@
     }
     roundWanted = false;
     Instant now = context.now();
-    ImmutableList<RunStart> starts =
+    Decision decision =
         scheduler.decide(
             context.ledger().active(), rooms(now), now, timeOfDayMilliseconds.getAsLong());
+    shortages = decision.shortages();
+    ImmutableList<RunStart> starts = decision.starts();
     if (starts.isEmpty()) {
       return;
     }
@@ -318,8 +365,10 @@
   private List<WorkerRoom> rooms(Instant now) {
     List<WorkerRoom> rooms = new ArrayList<>();
     for (WorkerSession session : sessions.values()) {
-      if (session.takesTasks(now) && !evacuations.isCordoned(session.worker().id())) {
-        WorkerRoom room = new WorkerRoom(session.worker());
+      boolean stays =
+          !evacuations.isCordoned(session.worker().id()) && !mover.isMoving(session.worker());
+      if (session.takesTasks(now) && stays) {
+        WorkerRoom room = new WorkerRoom(session.worker(), mover.isBorrowed(session.worker()));
         context.ledger().boundTo(session.worker().id()).forEach(room::take);
         rooms.add(room);
       }
@@ -372,7 +421,7 @@
   }
 
   private void onWorkerEnded(String id) {
-    registry.find(id).ifPresent(worker -> forget(worker, "its host went down as ordered"));
+    registry.find(id).ifPresent(worker -> dismiss(worker, "its host went down as ordered"));
   }
 
   /** Returns the pool that runs a job's queue now; the one at its acceptance if the queue left. */
--- a/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
@@ -142,7 +142,9 @@
     long token = fencingToken;
     looksInFlight++;
     lookTokenInFlight = token;
-    LookOrder order = new LookOrder(token, lastSeenEnd, clock.grant(now), (int) wait);
+    // A worker that may be lost gets no longer lease, or its tasks could never run elsewhere.
+    Optional<Long> leaseEnd = failures == 0 ? clock.grant(now) : Optional.empty();
+    LookOrder order = new LookOrder(token, lastSeenEnd, leaseEnd, (int) wait);
     Worker asked = worker;
     context.whenDone(
         context.calls().look(worker, order),
@@ -208,16 +210,7 @@
   /** The worker restarted under its id: its report will tell the rest. */
   private void onOtherLife(long born) {
     if (born > worker.bornAtMilliseconds()) {
-      worker =
-          new Worker(
-              worker.id(),
-              born,
-              worker.pool(),
-              worker.address(),
-              worker.zone(),
-              worker.capacity(),
-              worker.labels(),
-              worker.draining());
+      worker = worker.bornAt(born);
       startAnew();
     }
   }
--- a/core/src/main/java/org/verbenawheel/replication/Formation.java
+++ b/core/src/main/java/org/verbenawheel/replication/Formation.java
@@ -31,14 +31,10 @@
   private final Map<ProcessId, Heard> emptyVoters = new HashMap<>();
   private Instant nextIntroduction;
 
-  Formation(
-      ReplicaCore core,
-      ImmutableSortedSet<ProcessId> initialVoters,
-      boolean mayFound,
-      Instant now) {
+  Formation(ReplicaCore core, ClusterRules rules, Instant now) {
     this.core = core;
-    this.initialVoters = initialVoters;
-    this.mayFound = mayFound;
+    this.initialVoters = rules.initialVoters();
+    this.mayFound = rules.mayFound();
     this.nextIntroduction = now;
   }
 
--- a/core/src/main/java/org/verbenawheel/replication/Leadership.java
+++ b/core/src/main/java/org/verbenawheel/replication/Leadership.java
@@ -23,6 +23,7 @@
   private static final int MAXIMUM_BATCH_BYTES = 256 * 1024;
 
   private final ReplicaCore core;
+  private final ClusterRules rules;
   private final Instant electedAt;
   private final Map<ReplicaId, PeerProgress> progress = new HashMap<>();
   private final List<PendingRead> reads = new ArrayList<>();
@@ -31,8 +32,9 @@
   private long commitIndexAtHeartbeat;
   private Instant nextHeartbeat;
 
-  Leadership(ReplicaCore core, Instant now) {
+  Leadership(ReplicaCore core, ClusterRules rules, Instant now) {
     this.core = core;
+    this.rules = rules;
     this.electedAt = now;
     this.nextHeartbeat = now;
   }
@@ -51,7 +53,12 @@
     }
     sendHeartbeats(now);
     if (mayChangeMembers()) {
-      MemberChanges.next(core.members(), core.self(), this::isCaughtUp)
+      MemberChanges.next(
+              core.members(),
+              core.self(),
+              this::isCaughtUp,
+              voter -> isSilent(voter, now),
+              rules.maximumVoters())
           .ifPresent(members -> changeMembers(now, members));
     }
     commitIndexAtHeartbeat = core.commitIndex();
@@ -83,6 +90,12 @@
     return progressOf(member).matchIndex() >= Math.max(commitIndexAtHeartbeat, termStartIndex);
   }
 
+  private boolean isSilent(Member voter, Instant now) {
+    Instant heard = progressOf(voter).answeredSentAt();
+    Instant since = heard.isAfter(electedAt) ? heard : electedAt;
+    return !voter.equals(core.self()) && now.isAfter(since.plus(rules.silentVoterAfter()));
+  }
+
   private void changeMembers(Instant now, ClusterMembers members) {
     append(now, EntryType.MEMBERS, ImmutableList.of(ReplicationMessages.encode(members)));
     replicate(now);
--- a/core/src/main/java/org/verbenawheel/replication/MemberChanges.java
+++ b/core/src/main/java/org/verbenawheel/replication/MemberChanges.java
@@ -31,21 +31,32 @@
    * Returns the members after the next step.
    *
    * @param caughtUp tells whether a learner has all committed entries on its disk
+   * @param silent tells whether a voter has not answered for long
+   * @param maximumVoters how many replicas vote at most
    * @return empty if nothing is to be changed
    */
   static Optional<ClusterMembers> next(
-      ClusterMembers members, Member leader, Predicate<Member> caughtUp) {
+      ClusterMembers members,
+      Member leader,
+      Predicate<Member> caughtUp,
+      Predicate<Member> silent,
+      int maximumVoters) {
     return members.learners().stream()
         .filter(learner -> !learner.process().equals(leader.process()))
         .filter(caughtUp)
         .findFirst()
-        .map(learner -> stepFor(members, learner));
+        .flatMap(learner -> stepFor(members, learner, silent, maximumVoters));
   }
 
-  private static ClusterMembers stepFor(ClusterMembers members, Member learner) {
-    return members
-        .voterOf(learner.process())
-        .map(members::withRetired)
-        .orElseGet(() -> members.withPromoted(learner));
+  private static Optional<ClusterMembers> stepFor(
+      ClusterMembers members, Member learner, Predicate<Member> silent, int maximumVoters) {
+    Optional<Member> lost = members.voterOf(learner.process());
+    if (lost.isPresent()) {
+      return lost.map(members::withRetired);
+    }
+    if (members.voters().size() < maximumVoters) {
+      return Optional.of(members.withPromoted(learner));
+    }
+    return members.voters().stream().filter(silent).findFirst().map(members::withRetired);
   }
 }
--- a/core/src/main/java/org/verbenawheel/replication/Replica.java
+++ b/core/src/main/java/org/verbenawheel/replication/Replica.java
@@ -1,7 +1,6 @@
 package org.verbenawheel.replication;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSortedSet;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
@@ -33,6 +32,7 @@
   private final Follower follower;
   private final Election election;
   private final Formation formation;
+  private final ClusterRules rules;
   private @Nullable Leadership leadership;
   private Standing reported;
 
@@ -40,8 +40,7 @@
    * Makes a replica from what it left on disk.
    *
    * @param self its process and its identity
-   * @param initialVoters the processes that found the cluster; all replicas must be given the same
-   * @param mayFound whether it may found a cluster
+   * @param rules how the cluster is founded and changes
    * @param timings the times that the cluster agrees on
    * @param random draws election timeouts
    * @param recovered what was on disk
@@ -49,8 +48,7 @@
    */
   public Replica(
       Member self,
-      ImmutableSortedSet<ProcessId> initialVoters,
-      boolean mayFound,
+      ClusterRules rules,
       ReplicationTimings timings,
       RandomGenerator random,
       RecoveredLog recovered,
@@ -60,7 +58,8 @@
     this.core = new ReplicaCore(self, timings, random, log, recovered.hardState(), now);
     this.follower = new Follower(core);
     this.election = new Election(core);
-    this.formation = new Formation(core, initialVoters, mayFound, now);
+    this.rules = rules;
+    this.formation = new Formation(core, rules, now);
     this.reported = new Standing(core.role(), core.term(), core.leader());
   }
 
@@ -93,14 +92,14 @@
     if (message instanceof Addressed addressed) {
       onAddressed(now, new Member(from, addressed.header().from()), addressed);
     } else if (message instanceof Introduction introduction) {
-      onIntroduction(now, introduction);
+      onIntroduction(now, from, introduction);
     } else if (message instanceof Founding founding) {
       formation.onFounding(founding);
     }
     return effects();
   }
 
-  private void onIntroduction(Instant now, Introduction introduction) {
+  private void onIntroduction(Instant now, ProcessId from, Introduction introduction) {
     if (core.log().members().isEmpty()) {
       formation.onIntroduction(now, introduction);
       return;
@@ -116,6 +115,9 @@
     formation.answer(introduction);
     if (leadership != null) {
       leadership.onIntroduction(now, new Member(introduction.process(), introduction.replica()));
+    } else if (from.equals(introduction.process())) {
+      // A newcomer knows the processes of its settings only, and the leader may be another one.
+      core.leader().ifPresent(leader -> core.send(leader.process(), introduction));
     }
   }
 
@@ -221,7 +223,7 @@
     }
     if (core.role() == Role.CANDIDATE && election.isWon()) {
       core.take(Role.LEADER, Optional.of(core.self()));
-      leadership = new Leadership(core, now);
+      leadership = new Leadership(core, rules, now);
       leadership.begin(now);
     }
   }
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaProcess.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaProcess.java
@@ -57,7 +57,7 @@
     this.submissions = new Submissions(settings.self(), codec);
     this.anyReplica =
         RemoteCommandLog.builder()
-            .replicas(settings.initialVoters())
+            .replicas(settings.rules().initialVoters())
             .links(new LinksToSelf(settings.self(), this, links))
             .codec(codec)
             .clock(clock)
@@ -225,12 +225,17 @@
   public static final class Builder {
     private static final Duration DEFAULT_COMMAND_TIMEOUT = Duration.ofSeconds(5);
     private static final int DEFAULT_SNAPSHOT_INTERVAL = 20_000;
+    private static final int DEFAULT_MAXIMUM_VOTERS = 9;
+
+    /** Several elections long; a host that is replaced must be back among the voters soon. */
+    private static final Duration SILENT_VOTER_AFTER = Duration.ofMillis(2_500);
 
     private final ProcessId self;
     private final InstantSource clock;
     private final ImmutableList.Builder<StatePart> parts = ImmutableList.builder();
     private ImmutableSortedSet<ProcessId> initialVoters = ImmutableSortedSet.of();
     private boolean mayFound = true;
+    private int maximumVoters = DEFAULT_MAXIMUM_VOTERS;
     private ReplicationTimings timings = ReplicationTimings.DEFAULT;
     private Duration commandTimeout = DEFAULT_COMMAND_TIMEOUT;
     private int snapshotInterval = DEFAULT_SNAPSHOT_INTERVAL;
@@ -260,6 +265,12 @@
       return this;
     }
 
+    /** Sets how many replicas vote at most; further ones stand by as learners. */
+    public Builder maximumVoters(int value) {
+      maximumVoters = value;
+      return this;
+    }
+
     /** Sets the folder that holds the replica's files. */
     public Builder dataFolder(Path value) {
       return dataFolder(() -> DiskFolder.open(value));
@@ -334,7 +345,12 @@
     private ReplicaSettings settings() {
       checkState(!initialVoters.isEmpty(), "initialVoters not set");
       return new ReplicaSettings(
-          self, initialVoters, mayFound, timings, commandTimeout, snapshotInterval, groupCommit);
+          self,
+          new ClusterRules(initialVoters, mayFound, maximumVoters, SILENT_VOTER_AFTER),
+          timings,
+          commandTimeout,
+          snapshotInterval,
+          groupCommit);
     }
 
     private <T> T required(@Nullable T value, String name) {
--- a/core/src/main/java/org/verbenawheel/replication/RunningReplica.java
+++ b/core/src/main/java/org/verbenawheel/replication/RunningReplica.java
@@ -80,8 +80,7 @@
     this.replica =
         new Replica(
             new Member(settings.self(), store.identity()),
-            settings.initialVoters(),
-            settings.mayFound(),
+            settings.rules(),
             settings.timings(),
             new Random(),
             store.recovered(),
--- a/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
@@ -1,6 +1,7 @@
 package org.verbenawheel.scheduling;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -37,133 +38,136 @@
    * @param rooms what is free on the workers that take tasks
    * @param now the present moment
    * @param timeOfDayMilliseconds the time of day, for occurrences that are due at one
-   * @return the runs to start
+   * @return the runs to start, and what was short
    */
-  public ImmutableList<RunStart> decide(
+  public Decision decide(
       Collection<Job> jobs, List<WorkerRoom> rooms, Instant now, long timeOfDayMilliseconds) {
     Map<String, List<WorkerRoom>> roomsOfPool = new HashMap<>();
     rooms.forEach(
         room ->
             roomsOfPool.computeIfAbsent(room.worker().pool(), pool -> new ArrayList<>()).add(room));
-    ImmutableList.Builder<RunStart> starts = ImmutableList.builder();
+    Round round = new Round(timeOfDayMilliseconds);
     jobs.stream()
         .filter(JobScheduler::hasWaitingTask)
         .map(job -> JobOrder.of(job, now))
         .sorted(JobOrder.MOST_URGENT_FIRST)
         .forEach(
             order -> {
-              Job job = order.job();
-              List<WorkerRoom> eligible = roomsOfPool.getOrDefault(poolOf.apply(job), List.of());
-              if (!eligible.isEmpty()) {
-                place(job, eligible, timeOfDayMilliseconds, starts);
+              String pool = poolOf.apply(order.job());
+              long shortBefore = round.shortMillicores;
+              round.place(order.job(), roomsOfPool.getOrDefault(pool, List.of()));
+              if (order.standing() != JobOrder.Standing.TOO_LATE) {
+                round.shortages.merge(pool, round.shortMillicores - shortBefore, Long::sum);
               }
             });
-    return starts.build();
+    return new Decision(round.starts.build(), ImmutableMap.copyOf(round.shortages));
   }
 
   private static boolean hasWaitingTask(Job job) {
     return job.boundTasks() < job.unfinishedTasks();
   }
 
-  private static void place(
-      Job job,
-      List<WorkerRoom> rooms,
-      long timeOfDayMilliseconds,
-      ImmutableList.Builder<RunStart> starts) {
-    JobSpecification specification = job.specification();
-    for (int occurrence = 0; occurrence < specification.occurrences(); occurrence++) {
-      if (!isDue(specification, occurrence, timeOfDayMilliseconds)) {
-        return;
-      }
-      for (int step = 0; step < specification.steps().size(); step++) {
-        if (!job.isDone(occurrence, step) && job.isReady(occurrence, step)) {
-          place(job.tasks(occurrence, step), specification.steps().get(step), rooms, starts);
-        }
-      }
-    }
+  private static Optional<WorkerRoom> best(Task task, List<WorkerRoom> rooms) {
+    return rooms.stream()
+        .filter(room -> room.admits(task))
+        .max(Comparator.comparingLong(room -> room.preferenceFor(task.step())));
   }
 
-  private static boolean isDue(JobSpecification job, int occurrence, long timeOfDayMilliseconds) {
-    return !job.isTimed()
-        || timeOfDayMilliseconds
-            >= job.firstStartMilliseconds() + occurrence * job.intervalMilliseconds();
-  }
+  /** What one round has decided so far. */
+  private static final class Round {
+    private final long timeOfDayMilliseconds;
+    private final ImmutableList.Builder<RunStart> starts = ImmutableList.builder();
+    private final Map<String, Long> shortages = new HashMap<>();
+    private long shortMillicores;
 
-  private static void place(
-      ImmutableList<Task> tasks,
-      StepSpecification step,
-      List<WorkerRoom> rooms,
-      ImmutableList.Builder<RunStart> starts) {
-    if (step.gang()) {
-      placeGang(tasks, step, rooms, starts);
-      return;
+    Round(long timeOfDayMilliseconds) {
+      this.timeOfDayMilliseconds = timeOfDayMilliseconds;
     }
-    for (Task task : tasks) {
-      if (task.phase() != Task.Phase.WAITING) {
-        continue;
-      }
-      Optional<WorkerRoom> room = best(task, rooms);
-      if (room.isEmpty()) {
-        return;
+
+    void place(Job job, List<WorkerRoom> rooms) {
+      JobSpecification specification = job.specification();
+      for (int occurrence = 0; occurrence < specification.occurrences(); occurrence++) {
+        if (!isDue(specification, occurrence)) {
+          return;
+        }
+        for (int step = 0; step < specification.steps().size(); step++) {
+          if (!job.isDone(occurrence, step) && job.isReady(occurrence, step)) {
+            place(job.tasks(occurrence, step), specification.steps().get(step), rooms);
+          }
+        }
       }
-      starts.add(start(task, task.run() + 1, room.get()));
     }
-  }
-
-  private static RunStart start(Task task, int run, WorkerRoom room) {
-    room.take(task);
-    return new RunStart(task.id().text(), run, room.worker().id());
-  }
 
-  private static Optional<WorkerRoom> best(Task task, List<WorkerRoom> rooms) {
-    return rooms.stream()
-        .filter(room -> room.admits(task))
-        .max(Comparator.comparingLong(room -> room.preferenceFor(task.step())));
-  }
+    private boolean isDue(JobSpecification job, int occurrence) {
+      return !job.isTimed()
+          || timeOfDayMilliseconds
+              >= job.firstStartMilliseconds() + occurrence * job.intervalMilliseconds();
+    }
 
-  /** Places all members at the same moment or none, on one rack if they ask for it and it fits. */
-  private static void placeGang(
-      ImmutableList<Task> members,
-      StepSpecification step,
-      List<WorkerRoom> rooms,
-      ImmutableList.Builder<RunStart> starts) {
-    if (members.stream().anyMatch(member -> member.phase() != Task.Phase.WAITING)) {
-      return;
+    private void place(ImmutableList<Task> tasks, StepSpecification step, List<WorkerRoom> rooms) {
+      if (step.gang()) {
+        placeGang(tasks, step, rooms);
+        return;
+      }
+      boolean full = false;
+      for (Task task : tasks) {
+        if (task.phase() != Task.Phase.WAITING) {
+          continue;
+        }
+        Optional<WorkerRoom> room = full ? Optional.empty() : best(task, rooms);
+        if (room.isPresent()) {
+          start(task, task.run() + 1, room.get());
+        } else {
+          full = true;
+          shortMillicores += step.reservedMillicores();
+        }
+      }
     }
-    Map<String, List<WorkerRoom>> racks = new LinkedHashMap<>();
-    if (step.singleRack()) {
-      rooms.forEach(
-          room -> racks.computeIfAbsent(room.worker().rack(), rack -> new ArrayList<>()).add(room));
+
+    private void start(Task task, int run, WorkerRoom room) {
+      room.take(task);
+      starts.add(new RunStart(task.id().text(), run, room.worker().id()));
     }
-    for (List<WorkerRoom> rack : racks.values()) {
-      if (placeAll(members, rack, starts)) {
+
+    /** Places all members at the same moment or none, on one rack if they ask for it. */
+    private void placeGang(
+        ImmutableList<Task> members, StepSpecification step, List<WorkerRoom> rooms) {
+      if (members.stream().anyMatch(member -> member.phase() != Task.Phase.WAITING)) {
         return;
       }
+      Map<String, List<WorkerRoom>> racks = new LinkedHashMap<>();
+      if (step.singleRack()) {
+        rooms.forEach(
+            room ->
+                racks.computeIfAbsent(room.worker().rack(), rack -> new ArrayList<>()).add(room));
+      }
+      boolean placed = racks.values().stream().anyMatch(rack -> placeAll(members, rack));
+      if (!placed && !placeAll(members, rooms)) {
+        shortMillicores += (long) members.size() * step.reservedMillicores();
+      }
     }
-    placeAll(members, rooms, starts);
-  }
 
-  private static boolean placeAll(
-      ImmutableList<Task> members, List<WorkerRoom> rooms, ImmutableList.Builder<RunStart> starts) {
-    int run = members.stream().mapToInt(Task::run).max().orElse(0) + 1;
-    Map<WorkerRoom, WorkerRoom> trial = new LinkedHashMap<>();
-    rooms.forEach(room -> trial.put(room.copy(), room));
-    List<WorkerRoom> copies = new ArrayList<>(trial.keySet());
-    List<WorkerRoom> chosen = new ArrayList<>();
-    for (Task member : members) {
-      Optional<WorkerRoom> room = best(member, copies);
-      if (room.isEmpty()) {
-        return false;
+    private boolean placeAll(ImmutableList<Task> members, List<WorkerRoom> rooms) {
+      int run = members.stream().mapToInt(Task::run).max().orElse(0) + 1;
+      Map<WorkerRoom, WorkerRoom> originals = new LinkedHashMap<>();
+      rooms.forEach(room -> originals.put(room.copy(), room));
+      List<WorkerRoom> copies = new ArrayList<>(originals.keySet());
+      List<WorkerRoom> chosen = new ArrayList<>();
+      for (Task member : members) {
+        Optional<WorkerRoom> room = best(member, copies);
+        if (room.isEmpty()) {
+          return false;
+        }
+        room.get().take(member);
+        chosen.add(room.get());
       }
-      room.get().take(member);
-      chosen.add(room.get());
-    }
-    for (int index = 0; index < members.size(); index++) {
-      WorkerRoom real = trial.get(chosen.get(index));
-      if (real != null) {
-        starts.add(start(members.get(index), run, real));
+      for (int index = 0; index < members.size(); index++) {
+        WorkerRoom original = originals.get(chosen.get(index));
+        if (original != null) {
+          start(members.get(index), run, original);
+        }
       }
+      return true;
     }
-    return true;
   }
 }
--- a/core/src/main/java/org/verbenawheel/scheduling/WorkerRoom.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/WorkerRoom.java
@@ -9,6 +9,7 @@
 /** What is free on one worker while one round of decisions is made. Not thread-safe. */
 public final class WorkerRoom {
   private final Worker worker;
+  private final boolean borrowed;
   private final Map<StepKey, Integer> tasksOfStep = new HashMap<>();
   private int freeMillicores;
   private int freeMegabytes;
@@ -16,9 +17,14 @@
   private int servingTasks;
   private int fillingTasks;
 
-  /** Makes the room of a worker on which nothing runs. */
-  public WorkerRoom(Worker worker) {
+  /**
+   * Makes the room of a worker on which nothing runs.
+   *
+   * @param borrowed whether its host is to be given back soon, so that tasks that last keep away
+   */
+  public WorkerRoom(Worker worker, boolean borrowed) {
     this.worker = worker;
+    this.borrowed = borrowed;
     this.freeMillicores = worker.capacity().cpuMillicores();
     this.freeMegabytes = worker.capacity().memoryMegabytes();
     this.freeAccelerators = worker.capacity().accelerators();
@@ -26,7 +32,7 @@
 
   /** Returns an equal room, for trying a placement. */
   WorkerRoom copy() {
-    WorkerRoom copy = new WorkerRoom(worker);
+    WorkerRoom copy = new WorkerRoom(worker, borrowed);
     copy.tasksOfStep.putAll(tasksOfStep);
     copy.freeMillicores = freeMillicores;
     copy.freeMegabytes = freeMegabytes;
@@ -88,7 +94,8 @@
       disturbed = fillingTasks;
     }
     boolean near = step.preferredRack().isEmpty() || step.preferredRack().equals(worker.rack());
-    return (near ? 1L << 50 : 0) - (disturbed << 40) + freeMillicores;
+    boolean stays = !borrowed || !step.longRunning();
+    return (near ? 1L << 50 : 0) + (stays ? 1L << 48 : 0) - (disturbed << 40) + freeMillicores;
   }
 
   /** Names a step of one occurrence of a job. */
--- a/core/src/main/java/org/verbenawheel/wave/Wave.java
+++ b/core/src/main/java/org/verbenawheel/wave/Wave.java
@@ -1,7 +1,6 @@
 package org.verbenawheel.wave;
 
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.Maps;
 import java.time.Instant;
 
 /**
@@ -26,9 +25,8 @@
   }
 
   Wave with(String host, UpkeepPhase phase) {
-    ImmutableMap<String, UpkeepPhase> changed =
-        ImmutableMap.copyOf(
-            Maps.transformEntries(hosts, (name, present) -> name.equals(host) ? phase : present));
-    return new Wave(number, deadline, maximumDown, changed);
+    ImmutableMap.Builder<String, UpkeepPhase> changed = ImmutableMap.builder();
+    hosts.forEach((name, present) -> changed.put(name, name.equals(host) ? phase : present));
+    return new Wave(number, deadline, maximumDown, changed.buildOrThrow());
   }
 }
--- a/core/src/main/java/org/verbenawheel/worker/Worker.java
+++ b/core/src/main/java/org/verbenawheel/worker/Worker.java
@@ -7,6 +7,7 @@
  *
  * @param id the worker's id
  * @param bornAtMilliseconds when this life began, in milliseconds since 1970 by the worker's clock
+ * @param host the host that it runs on; empty if it does not say
  * @param pool the pool that it belongs to
  * @param address where it takes commands, as {@code ip:port}
  * @param zone its availability zone
@@ -17,6 +18,7 @@
 public record Worker(
     String id,
     long bornAtMilliseconds,
+    String host,
     String pool,
     String address,
     String zone,
@@ -42,6 +44,15 @@
     return id.equals(other.id) && bornAtMilliseconds == other.bornAtMilliseconds;
   }
 
+  /**
+   * Returns another life of this worker.
+   *
+   * @param born when it began
+   */
+  public Worker bornAt(long born) {
+    return new Worker(id, born, host, pool, address, zone, capacity, labels, draining);
+  }
+
   /** Returns the rack, which is the last label; empty if the worker names none. */
   public String rack() {
     return labels.size() < 2 ? "" : labels.get(labels.size() - 1);
--- a/core/src/test/java/org/verbenawheel/replication/ImmediateReplicas.java
+++ b/core/src/test/java/org/verbenawheel/replication/ImmediateReplicas.java
@@ -43,12 +43,33 @@
       Random random = new Random(voter.hashCode());
       replicas.put(
           voter,
-          new Replica(self, voters, true, SeededNode.TIMINGS, random, RecoveredLog.EMPTY, now));
+          new Replica(
+              self, rules(voters, true), SeededNode.TIMINGS, random, RecoveredLog.EMPTY, now));
       effects.put(voter, new ArrayList<>());
       waiting.put(voter, new ArrayDeque<>());
     }
   }
 
+  /** Adds a process with an empty disk that knows only the seeds, and a cluster to join. */
+  void join(ProcessId process, ProcessId seed) {
+    Replica joining =
+        new Replica(
+            new Member(process, ReplicaId.random()),
+            rules(ImmutableSortedSet.of(seed), false),
+            SeededNode.TIMINGS,
+            new Random(process.hashCode()),
+            RecoveredLog.EMPTY,
+            now);
+    replicas.put(process, joining);
+    effects.put(process, new ArrayList<>());
+    waiting.put(process, new ArrayDeque<>());
+    cutOff.remove(process);
+  }
+
+  private static ClusterRules rules(ImmutableSortedSet<ProcessId> voters, boolean mayFound) {
+    return new ClusterRules(voters, mayFound, 5, Duration.ofSeconds(2));
+  }
+
   Instant now() {
     return now;
   }
--- /dev/null
+++ b/core/src/test/java/org/verbenawheel/replication/JoiningReplicaTest.java
@@ -0,0 +1,82 @@
+package org.verbenawheel.replication;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.verbenawheel.identity.ProcessId;
+
+/** Tests how processes that know only some others become voters. */
+final class JoiningReplicaTest {
+  private static final Duration SETTLED = Duration.ofSeconds(3);
+
+  private final ImmediateReplicas replicas = new ImmediateReplicas();
+
+  @Test
+  void processThatKnowsOnlyAFollowerBecomesAVoter() {
+    ProcessId leader = replicas.awaitLeader();
+    ProcessId newcomer = new ProcessId("control-4");
+
+    replicas.join(newcomer, followerOf(leader));
+    replicas.advance(SETTLED);
+
+    assertThat(votes(leader, newcomer)).isTrue();
+  }
+
+  @Test
+  void lostDiskIsReplacedThoughTheSettingsNameOnlyAFollower() {
+    ProcessId leader = replicas.awaitLeader();
+    ProcessId lost = followerOf(leader);
+    ProcessId seed =
+        replicas.replica(leader).status().members().orElseThrow().voters().stream()
+            .map(Member::process)
+            .filter(process -> !process.equals(leader) && !process.equals(lost))
+            .findFirst()
+            .orElseThrow();
+
+    replicas.join(lost, seed);
+    replicas.advance(SETTLED);
+
+    assertThat(votes(leader, lost)).isTrue();
+    assertThat(members(leader).voters()).hasSize(3);
+    assertThat(members(leader).retired()).hasSize(1);
+  }
+
+  @Test
+  void sixthReplicaWaitsUntilAVoterIsSilent() {
+    ProcessId leader = replicas.awaitLeader();
+    replicas.join(new ProcessId("control-4"), leader);
+    replicas.advance(SETTLED);
+    replicas.join(new ProcessId("control-5"), leader);
+    replicas.advance(SETTLED);
+    ProcessId sixth = new ProcessId("control-6");
+
+    replicas.join(sixth, leader);
+    replicas.advance(SETTLED);
+
+    assertThat(votes(leader, sixth)).isFalse();
+    ProcessId silent = followerOf(leader);
+    replicas.cutOff(silent);
+    replicas.advance(SETTLED);
+
+    assertThat(votes(leader, sixth)).isTrue();
+    assertThat(votes(leader, silent)).isFalse();
+    assertThat(members(leader).voters()).hasSize(5);
+  }
+
+  private ProcessId followerOf(ProcessId leader) {
+    return members(leader).voters().stream()
+        .map(Member::process)
+        .filter(process -> !process.equals(leader))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private boolean votes(ProcessId leader, ProcessId process) {
+    return members(leader).voterOf(process).isPresent();
+  }
+
+  private ClusterMembers members(ProcessId leader) {
+    return replicas.replica(leader).status().members().orElseThrow();
+  }
+}
--- a/core/src/test/java/org/verbenawheel/replication/SeededNode.java
+++ b/core/src/test/java/org/verbenawheel/replication/SeededNode.java
@@ -75,8 +75,8 @@
             : recovered.hardState();
     return new Replica(
         new Member(process, store.identity()),
-        ImmutableSortedSet.copyOf(cluster.voters()),
-        true,
+        new ClusterRules(
+            ImmutableSortedSet.copyOf(cluster.voters()), true, 9, Duration.ofSeconds(1_000)),
         TIMINGS,
         new Random(cluster.random().nextLong()),
         new RecoveredLog(hardState, recovered.snapshot(), recovered.entries()),
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.verbenawheel.daemon.PartDumps;
 import org.verbenawheel.execution.FleetLeadership;
 import org.verbenawheel.execution.HostCalls;
@@ -85,6 +86,7 @@
         ReplicaProcess.builder(settings.process(), clock)
             .initialVoters(settings.seeds())
             .mayFound(settings.mayFound())
+            .maximumVoters(settings.maximumVoters())
             .dataFolder(dataFolder)
             .links(peers)
             .codec(FleetMessages.CODEC)
@@ -109,6 +111,7 @@
             settings.process().value(),
             settings.execution(),
             settings.waves(),
+            settings.moves(),
             clock,
             System::currentTimeMillis,
             replica::executeOnState);
@@ -193,13 +196,33 @@
 
   /** Runs an action on the state thread once a quorum confirmed that this process leads. */
   private <T> CompletableFuture<T> leading(Function<FleetLeadership, CompletableFuture<T>> action) {
-    return replica
-        .read(
-            () ->
-                loop.leadership()
-                    .map(action)
-                    .orElseGet(() -> CompletableFuture.failedFuture(notLeading())))
-        .thenCompose(result -> result);
+    return confirmed(
+        () ->
+            loop.leadership()
+                .map(action)
+                .orElseGet(() -> CompletableFuture.failedFuture(notLeading())));
+  }
+
+  private <T> CompletableFuture<T> confirmed(Supplier<CompletableFuture<T>> action) {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    var unused =
+        replica
+            .read(() -> copy(action.get(), result))
+            .exceptionally(notConfirmed -> result.completeExceptionally(notConfirmed));
+    return result;
+  }
+
+  private static <T> boolean copy(CompletableFuture<T> from, CompletableFuture<T> to) {
+    var unused =
+        from.whenComplete(
+            (value, failure) -> {
+              if (failure == null) {
+                to.complete(value);
+              } else {
+                to.completeExceptionally(failure);
+              }
+            });
+    return true;
   }
 
   private NotLeaderException notLeading() {
@@ -222,9 +245,7 @@
     if (draining || !replica.mayDecide()) {
       return CompletableFuture.completedFuture(notLeaderAnswer());
     }
-    return replica
-        .read(() -> queues.answer(call))
-        .thenCompose(answer -> answer)
+    return confirmed(() -> queues.answer(call))
         .<PeerMessage>thenApply(this::scheduleIfAccepted)
         .exceptionally(notConfirmed -> notLeaderAnswer());
   }
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetEntry.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetEntry.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.Timer;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Optional;
@@ -11,9 +12,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
 import org.verbenawheel.gateway.QueueAnswer;
 import org.verbenawheel.gateway.QueueCall;
 import org.verbenawheel.gateway.QueueCall.Operation;
+import org.verbenawheel.identity.ProcessId;
 import org.verbenawheel.supervision.SupervisedPart;
 import org.verbenawheel.wire.PeerNode;
 
@@ -25,6 +28,7 @@
 
   private final FleetSettings settings;
   private final InstantSource clock;
+  private final Supplier<ImmutableSet<ProcessId>> seeds;
   private final MetricRegistry metrics = new MetricRegistry();
   private final PeerNode peers;
   private final QueueCalls calls;
@@ -36,9 +40,12 @@
    *
    * @param settings what the process is told
    * @param clock tells instants that never go back
+   * @param seeds reads the seeds of the settings again, which may change without a word
    */
-  public FleetEntry(FleetSettings settings, InstantSource clock) {
+  public FleetEntry(
+      FleetSettings settings, InstantSource clock, Supplier<ImmutableSet<ProcessId>> seeds) {
     this.settings = settings;
+    this.seeds = seeds;
     this.clock = clock;
     this.peers = FleetPeers.of(settings, clock);
     this.calls = new QueueCalls(peers, clock, settings.seeds());
@@ -60,6 +67,11 @@
         "process", settings.process(), "ready", isReady(), "peers", peers.dump());
   }
 
+  /** Takes other control processes to learn the leader from. */
+  public void reseed(ImmutableSet<ProcessId> seeds) {
+    calls.reseed(seeds);
+  }
+
   /**
    * Passes a request to the leader.
    *
@@ -92,6 +104,7 @@
   }
 
   private void probe() {
+    reseed(seeds.get());
     var unused = calls.send(new QueueCall(Operation.READ, "", "/", Optional.empty()), PROBE_LIMIT);
   }
 
--- a/daemon/src/main/java/org/verbenawheel/fleet/QueueCalls.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/QueueCalls.java
@@ -41,7 +41,7 @@
 
   private final PeerLinks links;
   private final InstantSource clock;
-  private final ImmutableSet<ProcessId> seeds;
+  private volatile ImmutableSet<ProcessId> seeds;
   private final AtomicInteger rotation = new AtomicInteger();
   private volatile Optional<ProcessId> leader = Optional.empty();
   private volatile ImmutableSet<ProcessId> controls;
@@ -54,6 +54,12 @@
     this.controls = seeds;
   }
 
+  /** Takes other seeds, which are asked besides the known control processes. */
+  void reseed(ImmutableSet<ProcessId> newSeeds) {
+    seeds = newSeeds;
+    controls = ImmutableSet.<ProcessId>builder().addAll(controls).addAll(newSeeds).build();
+  }
+
   /** Returns when a leader answered last. */
   Instant lastAnswerAt() {
     return lastAnswerAt;
--- a/daemon/src/main/java/org/verbenawheel/http/HttpConnections.java
+++ b/daemon/src/main/java/org/verbenawheel/http/HttpConnections.java
@@ -6,7 +6,9 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -29,7 +31,8 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
 
   private final int connectionsPerServer;
-  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
   private final Map<String, HttpServerLane> lanes = new HashMap<>();
 
@@ -52,7 +55,7 @@
 
   @Override
   public void stop(Duration grace) {
-    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    var unused = group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
   }
 
   /**
--- a/daemon/src/main/java/org/verbenawheel/http/HttpServerLane.java
+++ b/daemon/src/main/java/org/verbenawheel/http/HttpServerLane.java
@@ -107,7 +107,7 @@
     request.headers().forEach((name, value) -> message.headers().set(name, value));
     pending.channel = channel;
     channel.pipeline().addLast(new ReplyHandler(pending));
-    channel.writeAndFlush(message);
+    var unused = channel.writeAndFlush(message, channel.voidPromise());
   }
 
   private void timeOut(Pending pending) {
@@ -117,14 +117,18 @@
       pending.fail(RunVerdict.NOT_RUN, address + ": no connection within the timeout");
     } else {
       pending.fail(RunVerdict.MAY_HAVE_RUN, address + ": no answer within the timeout");
-      channel.close();
+      close(channel);
     }
   }
 
   /** Closes all connections. */
   void close() {
     failWaiting("the connections are closed");
-    Set.copyOf(open).forEach(Channel::close);
+    Set.copyOf(open).forEach(HttpServerLane::close);
+  }
+
+  private static void close(Channel channel) {
+    var unused = channel.close();
   }
 
   /** A request from its arrival to its outcome. */
@@ -175,7 +179,7 @@
       if (HttpUtil.isKeepAlive(response)) {
         idle.addLast(channel);
       } else {
-        channel.close();
+        close(channel);
       }
       pending.succeed(reply);
       serveWaiting();
@@ -193,7 +197,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       pending.fail(RunVerdict.MAY_HAVE_RUN, address + ": " + cause);
-      context.close();
+      close(context.channel());
     }
   }
 }
