--- /dev/null
+++ b/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
@@ -0,0 +1,186 @@
+package org.verbenawheel.execution;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.verbenawheel.execution.WorkerCalls.ListedEnd;
+import org.verbenawheel.execution.WorkerCalls.ListedRun;
+import org.verbenawheel.execution.WorkerCalls.Listing;
+import org.verbenawheel.execution.WorkerCalls.LookOrder;
+import org.verbenawheel.execution.WorkerCalls.StartAnswer;
+import org.verbenawheel.execution.WorkerCalls.StartOrder;
+import org.verbenawheel.execution.WorkerCalls.StartOutcome;
+import org.verbenawheel.execution.WorkerCalls.StopOrder;
+import org.verbenawheel.job.RunEnding;
+import org.verbenawheel.request.RunVerdict;
+
+/** A worker with a clock, a lease and a fence of its own, whose orders and answers can be lost. */
+final class FakeWorker {
+  private static final long CLOCK_OFFSET = 1_000_000;
+
+  private final String id;
+  private final FleetTrial trial;
+  private final Map<String, Integer> running = new LinkedHashMap<>();
+  private final Map<String, Integer> highestEnded = new LinkedHashMap<>();
+  private final List<ListedEnd> ends = new ArrayList<>();
+  private final List<StartOrder> lostStarts = new ArrayList<>();
+  private long born;
+  private long lastEnd;
+  private long highestToken;
+  private long leaseEnd;
+  private int forgottenEnds;
+  private boolean silent;
+  private boolean loseNextStart;
+  private boolean loseNextAnswer;
+
+  FakeWorker(String id, FleetTrial trial, long born) {
+    this.id = id;
+    this.trial = trial;
+    this.born = born;
+  }
+
+  long born() {
+    return born;
+  }
+
+  long clock() {
+    return CLOCK_OFFSET + trial.milliseconds();
+  }
+
+  long longestLease() {
+    return leaseEnd;
+  }
+
+  int forgottenEnds() {
+    return forgottenEnds;
+  }
+
+  /** Returns what runs as {@code task/run}. */
+  ImmutableSet<String> running() {
+    expire();
+    return running.entrySet().stream()
+        .map(run -> run.getKey() + "/" + run.getValue())
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
+  void setSilent(boolean value) {
+    silent = value;
+  }
+
+  void loseNextStart() {
+    loseNextStart = true;
+  }
+
+  void loseNextAnswer() {
+    loseNextAnswer = true;
+  }
+
+  void deliverLostStarts() {
+    lostStarts.forEach(this::carryOut);
+    lostStarts.clear();
+  }
+
+  void endAll(RunEnding ending) {
+    ImmutableList.copyOf(running.keySet()).forEach(task -> end(task, ending));
+  }
+
+  void beBornAgain() {
+    born += 1_000;
+    running.clear();
+    ends.clear();
+    highestEnded.clear();
+    lastEnd = 0;
+    highestToken = 0;
+    leaseEnd = 0;
+  }
+
+  CompletableFuture<StartAnswer> start(StartOrder order) {
+    if (loseNextStart) {
+      loseNextStart = false;
+      lostStarts.add(order);
+      return lost();
+    }
+    if (silent) {
+      return lost();
+    }
+    StartOutcome outcome = carryOut(order);
+    if (loseNextAnswer) {
+      loseNextAnswer = false;
+      return lost();
+    }
+    return CompletableFuture.completedFuture(new StartAnswer(outcome, Optional.of(clock())));
+  }
+
+  private StartOutcome carryOut(StartOrder order) {
+    expire();
+    if (order.fencingToken() < highestToken) {
+      return StartOutcome.FENCED;
+    }
+    highestToken = order.fencingToken();
+    String task = order.task().text();
+    if (order.leaseEndMilliseconds() <= clock()) {
+      return StartOutcome.LEASE_OVER;
+    }
+    if (order.run() <= highestEnded.getOrDefault(task, 0)) {
+      return StartOutcome.SUPERSEDED;
+    }
+    leaseEnd = Math.max(leaseEnd, order.leaseEndMilliseconds());
+    running.put(task, order.run());
+    trial.onStarted(id, task);
+    return StartOutcome.STARTED;
+  }
+
+  CompletableFuture<Long> stop(StopOrder order) {
+    if (silent) {
+      return lost();
+    }
+    expire();
+    String task = order.task().text();
+    highestEnded.merge(task, order.run(), Math::max);
+    if (running.getOrDefault(task, 0) == order.run()) {
+      end(task, RunEnding.STOPPED);
+    }
+    return CompletableFuture.completedFuture(clock());
+  }
+
+  CompletableFuture<Listing> look(LookOrder order) {
+    if (silent) {
+      return lost();
+    }
+    expire();
+    highestToken = Math.max(highestToken, order.fencingToken());
+    order.leaseEndMilliseconds().ifPresent(end -> leaseEnd = Math.max(leaseEnd, end));
+    int before = ends.size();
+    ends.removeIf(end -> end.number() <= order.lastSeenEnd());
+    forgottenEnds += before - ends.size();
+    ImmutableList.Builder<ListedRun> runs = ImmutableList.builder();
+    running.forEach((task, run) -> runs.add(new ListedRun(task, run, "", 100, 0)));
+    return CompletableFuture.completedFuture(
+        new Listing(clock(), Optional.of(born), runs.build(), ImmutableList.copyOf(ends)));
+  }
+
+  private void expire() {
+    if (leaseEnd <= clock()) {
+      endAll(RunEnding.LAPSED);
+    }
+  }
+
+  private void end(String task, RunEnding ending) {
+    Integer run = running.remove(task);
+    if (run != null) {
+      highestEnded.merge(task, run, Math::max);
+      ends.add(new ListedEnd(++lastEnd, task, run, ending, ""));
+    }
+  }
+
+  private static <T> CompletableFuture<T> lost() {
+    return CompletableFuture.failedFuture(
+        new WorkerCallException(
+            WorkerCallException.Reason.UNREACHABLE, RunVerdict.MAY_HAVE_RUN, "no answer"));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/verbenawheel/execution/FleetTrial.java
@@ -0,0 +1,310 @@
+package org.verbenawheel.execution;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.verbenawheel.job.JobCommands.AcceptJob;
+import org.verbenawheel.job.JobCommands.CancelJob;
+import org.verbenawheel.job.JobCommands.Limits;
+import org.verbenawheel.job.JobLedger;
+import org.verbenawheel.job.JobPhase;
+import org.verbenawheel.job.JobSpecification;
+import org.verbenawheel.job.StepSpecification;
+import org.verbenawheel.queue.FleetConfigurationState;
+import org.verbenawheel.replication.ApplyContext;
+import org.verbenawheel.replication.CommandReply;
+import org.verbenawheel.replication.ControlCommand;
+import org.verbenawheel.replication.StatePart;
+import org.verbenawheel.wave.WaveLedger;
+import org.verbenawheel.worker.Worker;
+import org.verbenawheel.worker.WorkerRegistry;
+
+/** Drives a leadership and fake workers by hand: commits take no time unless they are held. */
+final class FleetTrial {
+  static final ExecutionTimings TIMINGS =
+      new ExecutionTimings(
+          Duration.ofSeconds(4),
+          Duration.ofSeconds(6),
+          0.02,
+          Duration.ofSeconds(1),
+          Duration.ofMillis(30),
+          Duration.ofMillis(300),
+          Duration.ofMillis(700),
+          Duration.ofMinutes(1),
+          Duration.ofMinutes(5));
+
+  private static final Duration TICK = Duration.ofMillis(50);
+  private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+
+  private final JobLedger ledger = new JobLedger(Duration.ofMinutes(2));
+  private final WorkerRegistry registry = new WorkerRegistry();
+  private final FleetConfigurationState configuration = new FleetConfigurationState();
+  private final WaveLedger waves = new WaveLedger();
+  private final FakeHosts hosts = new FakeHosts();
+  private final Map<String, FakeWorker> workers = new LinkedHashMap<>();
+  private final Deque<Runnable> tasks = new ArrayDeque<>();
+  private final List<Runnable> heldCommits = new ArrayList<>();
+  private final List<String> startedTwice = new ArrayList<>();
+  private final InstantSource clock = this::now;
+  private Instant now = START;
+  private boolean holdsCommits;
+  private long index;
+  private long sequence;
+  private long term = 1;
+  private FleetLeadership leadership = begin();
+
+  private FleetLeadership begin() {
+    return new FleetLeadership.Builder(
+            ledger,
+            registry,
+            configuration,
+            this::commit,
+            new Calls(),
+            hosts,
+            waves,
+            "control-1",
+            TIMINGS,
+            new WaveTimings(
+                Duration.ofSeconds(2),
+                Duration.ofMillis(100),
+                Duration.ofSeconds(1),
+                Duration.ofMillis(500),
+                Duration.ofSeconds(5)),
+            new MoveTimings(
+                Duration.ofMillis(100),
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(4),
+                Duration.ofMillis(100),
+                Duration.ofSeconds(2)),
+            clock,
+            () -> now.toEpochMilli(),
+            tasks::add)
+        .begin(term);
+  }
+
+  FakeHosts hosts() {
+    return hosts;
+  }
+
+  Instant now() {
+    return now;
+  }
+
+  long milliseconds() {
+    return Duration.between(START, now).toMillis();
+  }
+
+  FakeWorker worker(String id) {
+    return Objects.requireNonNull(workers.get(id));
+  }
+
+  void advance(Duration duration) {
+    Instant end = now.plus(duration);
+    runTasks();
+    while (now.isBefore(end)) {
+      now = now.plus(TICK);
+      leadership.onTick();
+      runTasks();
+    }
+  }
+
+  private void runTasks() {
+    while (!tasks.isEmpty()) {
+      tasks.remove().run();
+    }
+  }
+
+  void changeLeader() {
+    leadership.end();
+    term++;
+    leadership = begin();
+  }
+
+  void holdCommits(boolean value) {
+    holdsCommits = value;
+    if (!value) {
+      List<Runnable> released = ImmutableList.copyOf(heldCommits);
+      heldCommits.clear();
+      released.forEach(Runnable::run);
+    }
+  }
+
+  private CompletableFuture<CommandReply> commit(ControlCommand command) {
+    CompletableFuture<CommandReply> reply = new CompletableFuture<>();
+    Runnable applied = () -> reply.complete(apply(command));
+    if (holdsCommits) {
+      heldCommits.add(applied);
+    } else {
+      tasks.add(applied);
+    }
+    return reply;
+  }
+
+  CommandReply apply(ControlCommand command) {
+    for (StatePart part : ImmutableList.of(ledger, registry, configuration, waves)) {
+      if (part.commandKinds().contains(command.getClass())) {
+        return part.apply(command, new ApplyContext(++index, now));
+      }
+    }
+    throw new IllegalArgumentException("no part applies " + command);
+  }
+
+  void report(String id) {
+    workers.computeIfAbsent(id, unused -> new FakeWorker(id, this, 10_000));
+    report(describe(id, false));
+  }
+
+  void reportDraining(String id) {
+    report(describe(id, true));
+  }
+
+  private void report(Worker worker) {
+    FakeWorker fake = workers.get(worker.id());
+    Optional<Long> reading = Optional.ofNullable(fake).map(FakeWorker::clock);
+    var unused = leadership.onReport(worker, ++sequence, reading);
+    runTasks();
+  }
+
+  private Worker describe(String id, boolean draining) {
+    return new Worker(
+        id,
+        worker(id).born(),
+        "host-" + id,
+        "p",
+        id + ":1",
+        "zone",
+        new Worker.Capacity(32_000, 64_000, 0),
+        ImmutableList.of("a", "r1"),
+        draining);
+  }
+
+  void reportAtAddressOf(String other, String id, long bornLater) {
+    Worker present = describe(other, false);
+    report(
+        new Worker(
+            id,
+            present.bornAtMilliseconds() + bornLater,
+            "host-" + id,
+            "p",
+            present.address(),
+            "zone",
+            present.capacity(),
+            present.labels(),
+            false));
+  }
+
+  void leave(String id) {
+    var unused = leadership.onLeave(id, Optional.empty());
+    runTasks();
+  }
+
+  boolean isKnown(String id) {
+    return registry.find(id).isPresent();
+  }
+
+  void submit(String job, StepSpecification... steps) {
+    JobSpecification specification =
+        new JobSpecification("x", ImmutableList.copyOf(steps), 1, 0, 0);
+    apply(new AcceptJob(job, "q", specification, new Limits("p", 0, 3, 60_000)));
+    leadership.schedule();
+    runTasks();
+  }
+
+  void cancel(String job) {
+    apply(new CancelJob(job, "q"));
+  }
+
+  JobPhase phase(String job) {
+    return ledger.find(job).orElseThrow().phase();
+  }
+
+  /** Takes the start of a task, which must not run anywhere else. */
+  void onStarted(String worker, String task) {
+    for (Map.Entry<String, FakeWorker> other : workers.entrySet()) {
+      boolean runsThere =
+          !other.getKey().equals(worker)
+              && other.getValue().running().stream().anyMatch(run -> run.startsWith(task + "/"));
+      if (runsThere) {
+        startedTwice.add(task);
+      }
+    }
+  }
+
+  ImmutableList<String> startedTwice() {
+    return ImmutableList.copyOf(startedTwice);
+  }
+
+  /** Passes orders on to the fake workers. */
+  private final class Calls implements WorkerCalls {
+    @Override
+    public CompletableFuture<StartAnswer> start(Worker worker, StartOrder order) {
+      return worker(worker.id()).start(order);
+    }
+
+    @Override
+    public CompletableFuture<Long> stop(Worker worker, StopOrder order) {
+      return worker(worker.id()).stop(order);
+    }
+
+    @Override
+    public CompletableFuture<Listing> look(Worker worker, LookOrder order) {
+      return worker(worker.id()).look(order);
+    }
+
+    @Override
+    public CompletableFuture<Long> pace(Worker worker, PaceOrder order) {
+      return CompletableFuture.completedFuture(worker(worker.id()).clock());
+    }
+
+    @Override
+    public void forget(String workerId) {}
+  }
+
+  /** A platform whose hosts obey at once. */
+  static final class FakeHosts implements HostCalls {
+    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    private final List<String> maintained = new ArrayList<>();
+
+    void add(Host host) {
+      hosts.put(host.name(), host);
+    }
+
+    ImmutableList<String> maintained() {
+      return ImmutableList.copyOf(maintained);
+    }
+
+    ImmutableMap<String, String> pools() {
+      ImmutableMap.Builder<String, String> pools = ImmutableMap.builder();
+      hosts.forEach((name, host) -> pools.put(name, host.pool()));
+      return pools.buildOrThrow();
+    }
+
+    @Override
+    public CompletableFuture<ImmutableList<Host>> list() {
+      return CompletableFuture.completedFuture(ImmutableList.copyOf(hosts.values()));
+    }
+
+    @Override
+    public CompletableFuture<OrderOutcome> maintain(String host, long wave, Authority authority) {
+      maintained.add(host);
+      return CompletableFuture.completedFuture(OrderOutcome.DONE);
+    }
+
+    @Override
+    public CompletableFuture<OrderOutcome> move(String host, String pool, Authority authority) {
+      hosts.put(host, new Host(host, pool, HostState.UP, Optional.empty()));
+      return CompletableFuture.completedFuture(OrderOutcome.DONE);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/verbenawheel/job/JobLedgerTest.java
@@ -0,0 +1,229 @@
+package org.verbenawheel.job;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+import org.verbenawheel.job.JobCommands.AcceptJob;
+import org.verbenawheel.job.JobCommands.CancelJob;
+import org.verbenawheel.job.JobCommands.JobReply;
+import org.verbenawheel.job.JobCommands.Limits;
+import org.verbenawheel.job.JobCommands.RecordEnds;
+import org.verbenawheel.job.JobCommands.RecordStarts;
+import org.verbenawheel.job.JobCommands.RunEnd;
+import org.verbenawheel.job.JobCommands.RunStart;
+import org.verbenawheel.replication.ApplyContext;
+import org.verbenawheel.replication.CommandReply;
+import org.verbenawheel.replication.ControlCommand;
+import org.verbenawheel.replication.DamagedSnapshotException;
+
+/** Tests {@link JobLedger}. */
+final class JobLedgerTest {
+  private static final Duration RETENTION = Duration.ofMinutes(2);
+  private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+  private static final StepSpecification TASK = StepSpecification.builder().build();
+
+  private final JobLedger ledger = new JobLedger(RETENTION);
+  private Instant now = START;
+  private long index;
+
+  @Test
+  void resentJobStaysOneJob() {
+    accept("a", TASK);
+    start("a.0.0.0", 1, "w");
+
+    accept("a", TASK);
+
+    assertThat(ledger.active()).hasSize(1);
+    assertThat(task("a.0.0.0").run()).isEqualTo(1);
+  }
+
+  @Test
+  void jobIsCompletedOnceAllTasksAreDone() {
+    accept("a", StepSpecification.builder().taskCount(2).build());
+    start("a.0.0.0", 1, "w");
+    start("a.0.0.1", 1, "w");
+
+    end("a.0.0.0", 1, RunEnding.DONE);
+    assertThat(phase("a")).isEqualTo(JobPhase.RUNNING);
+    end("a.0.0.1", 1, RunEnding.DONE);
+
+    assertThat(phase("a")).isEqualTo(JobPhase.COMPLETED);
+    assertThat(ledger.boundTo("w")).isEmpty();
+  }
+
+  @Test
+  void endOfAnEarlierRunChangesNothing() {
+    accept("a", TASK);
+    start("a.0.0.0", 1, "w");
+    end("a.0.0.0", 1, RunEnding.LAPSED);
+    start("a.0.0.0", 2, "v");
+
+    end("a.0.0.0", 1, RunEnding.DONE);
+
+    assertThat(phase("a")).isEqualTo(JobPhase.RUNNING);
+    assertThat(task("a.0.0.0").worker()).hasValue("v");
+  }
+
+  @Test
+  void boundTaskIsNotBoundAgain() {
+    accept("a", TASK);
+    start("a.0.0.0", 1, "w");
+
+    start("a.0.0.0", 2, "v");
+
+    assertThat(task("a.0.0.0").worker()).hasValue("w");
+  }
+
+  @Test
+  void onlyFailedRunsCountAsAttempts() {
+    accept("a", TASK);
+    for (int run = 1; run <= 5; run++) {
+      start("a.0.0.0", run, "w");
+      end("a.0.0.0", run, RunEnding.LAPSED);
+    }
+    assertThat(phase("a")).isEqualTo(JobPhase.RUNNING);
+    for (int run = 6; run <= 8; run++) {
+      start("a.0.0.0", run, "w");
+      end("a.0.0.0", run, RunEnding.FAILED);
+    }
+
+    assertThat(phase("a")).isEqualTo(JobPhase.FAILED);
+  }
+
+  @Test
+  void failedRunOfAGangCountsOnceForAllItsMembers() {
+    accept("a", StepSpecification.builder().taskCount(3).gang(true).build());
+    for (int run = 1; run <= 2; run++) {
+      for (int member = 0; member < 3; member++) {
+        start("a.0.0." + member, run, "w");
+      }
+      for (int member = 0; member < 3; member++) {
+        end("a.0.0." + member, run, RunEnding.FAILED);
+      }
+    }
+
+    assertThat(phase("a")).isEqualTo(JobPhase.RUNNING);
+  }
+
+  @Test
+  void goodEndOfOneMemberStandsForItsGang() {
+    accept("a", StepSpecification.builder().taskCount(2).gang(true).build());
+    start("a.0.0.0", 1, "w");
+    start("a.0.0.1", 1, "v");
+
+    end("a.0.0.0", 1, RunEnding.DONE);
+
+    assertThat(phase("a")).isEqualTo(JobPhase.COMPLETED);
+    assertThat(ledger.boundTo("v")).isEmpty();
+  }
+
+  @Test
+  void lastingTaskWaitsAgainHoweverItEnds() {
+    accept("a", StepSpecification.builder().longRunning(true).build());
+    for (int run = 1; run <= 9; run++) {
+      start("a.0.0.0", run, "w");
+      end("a.0.0.0", run, run % 2 == 0 ? RunEnding.DONE : RunEnding.FAILED);
+    }
+
+    assertThat(phase("a")).isEqualTo(JobPhase.RUNNING);
+    assertThat(task("a.0.0.0").phase()).isEqualTo(Task.Phase.WAITING);
+  }
+
+  @Test
+  void cancelledJobStartsNothingMore() {
+    accept("a", StepSpecification.builder().taskCount(2).build());
+    start("a.0.0.0", 1, "w");
+
+    JobReply reply = (JobReply) apply(new CancelJob("a", "q"));
+    start("a.0.0.1", 1, "w");
+
+    assertThat(reply.known()).isTrue();
+    assertThat(phase("a")).isEqualTo(JobPhase.CANCELLED);
+    assertThat(ledger.boundTo("w")).hasSize(1);
+  }
+
+  @Test
+  void jobOfAnotherQueueIsNotCancelled() {
+    accept("a", TASK);
+
+    JobReply reply = (JobReply) apply(new CancelJob("a", "other"));
+
+    assertThat(reply.known()).isFalse();
+    assertThat(phase("a")).isEqualTo(JobPhase.QUEUED);
+  }
+
+  @Test
+  void endedJobIsForgottenOnlyAfterItsRetention() {
+    accept("a", TASK);
+    apply(new CancelJob("a", "q"));
+    now = START.plus(RETENTION);
+    accept("b", TASK);
+    assertThat(ledger.find("a")).isPresent();
+
+    now = START.plus(RETENTION).plusMillis(1);
+    accept("c", TASK);
+
+    assertThat(ledger.find("a")).isEmpty();
+    assertThat(ledger.find("b")).isPresent();
+  }
+
+  @Test
+  void stepIsReadyOnceThoseBeforeItAreDone() {
+    accept("a", TASK, StepSpecification.builder().dependsOn(ImmutableList.of(0)).build());
+    Job job = ledger.find("a").orElseThrow();
+    assertThat(job.isReady(0, 1)).isFalse();
+
+    start("a.0.0.0", 1, "w");
+    end("a.0.0.0", 1, RunEnding.DONE);
+
+    assertThat(job.isReady(0, 1)).isTrue();
+  }
+
+  @Test
+  void snapshotHoldsEverything() throws DamagedSnapshotException {
+    accept("a", StepSpecification.builder().taskCount(2).checkpointing(true).build());
+    start("a.0.0.0", 1, "w");
+    apply(new RecordEnds(ImmutableList.of(new RunEnd("a.0.0.0", 1, RunEnding.STOPPED, "saved"))));
+    start("a.0.0.1", 1, "w");
+    accept("b", TASK);
+    apply(new CancelJob("b", "q"));
+
+    JobLedger restored = new JobLedger(RETENTION);
+    restored.restore(ledger.snapshot());
+
+    assertThat(restored.snapshot()).isEqualTo(ledger.snapshot());
+    assertThat(restored.boundTo("w")).hasSize(1);
+    assertThat(restored.active()).hasSize(1);
+    assertThat(restored.find(TaskId.parse("a.0.0.0").orElseThrow()).orElseThrow().checkpoint())
+        .isEqualTo("saved");
+  }
+
+  private void accept(String job, StepSpecification... steps) {
+    JobSpecification specification =
+        new JobSpecification("x", ImmutableList.copyOf(steps), 1, 0, 0);
+    apply(new AcceptJob(job, "q", specification, new Limits("p", 0, 3, 1_000)));
+  }
+
+  private void start(String task, int run, String worker) {
+    apply(new RecordStarts(ImmutableList.of(new RunStart(task, run, worker))));
+  }
+
+  private void end(String task, int run, RunEnding ending) {
+    apply(new RecordEnds(ImmutableList.of(new RunEnd(task, run, ending, ""))));
+  }
+
+  private CommandReply apply(ControlCommand command) {
+    return ledger.apply(command, new ApplyContext(++index, now));
+  }
+
+  private JobPhase phase(String job) {
+    return ledger.find(job).orElseThrow().phase();
+  }
+
+  private Task task(String name) {
+    return TaskId.parse(name).flatMap(ledger::find).orElseThrow();
+  }
+}
--- a/daemon/src/main/java/org/verbenawheel/http/HttpExchange.java
+++ b/daemon/src/main/java/org/verbenawheel/http/HttpExchange.java
@@ -9,12 +9,12 @@
  * @param method such as {@code POST}
  * @param path the path and query
  * @param headers headers besides those of the transport
- * @param body the body; empty for none
+ * @param body the JSON body; empty for none
  * @param timeout how long to wait for the whole answer, the wait for a connection included
  */
 public record HttpExchange(
     String method,
     String path,
     ImmutableMap<String, String> headers,
-    byte[] body,
+    String body,
     Duration timeout) {}
--- a/daemon/src/main/java/org/verbenawheel/http/HttpReply.java
+++ b/daemon/src/main/java/org/verbenawheel/http/HttpReply.java
@@ -6,4 +6,4 @@
  * @param status the HTTP status
  * @param body the body; empty if there is none
  */
-public record HttpReply(int status, byte[] body) {}
+public record HttpReply(int status, String body) {}
--- a/daemon/src/main/java/org/verbenawheel/http/HttpServerLane.java
+++ b/daemon/src/main/java/org/verbenawheel/http/HttpServerLane.java
@@ -1,6 +1,7 @@
 package org.verbenawheel.http;
 
-import io.netty.buffer.ByteBufUtil;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -91,18 +92,19 @@
 
   private void exchange(Channel channel, Pending pending) {
     HttpExchange request = pending.request;
+    byte[] body = request.body().getBytes(UTF_8);
     DefaultFullHttpRequest message =
         new DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
             HttpMethod.valueOf(request.method()),
             request.path(),
-            Unpooled.wrappedBuffer(request.body()));
+            Unpooled.wrappedBuffer(body));
     message.headers().set(HttpHeaderNames.HOST, address);
-    if (request.body().length > 0) {
+    if (body.length > 0) {
       message
           .headers()
           .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
-          .set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+          .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
     }
     request.headers().forEach((name, value) -> message.headers().set(name, value));
     pending.channel = channel;
@@ -172,8 +174,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
       answered = true;
-      HttpReply reply =
-          new HttpReply(response.status().code(), ByteBufUtil.getBytes(response.content()));
+      HttpReply reply = new HttpReply(response.status().code(), response.content().toString(UTF_8));
       Channel channel = context.channel();
       context.pipeline().remove(this);
       if (HttpUtil.isKeepAlive(response)) {
