--- /dev/null
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHostsTest.java
@@ -0,0 +1,134 @@
+package org.verbenawheel.execution;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.verbenawheel.execution.HostCalls.Host;
+import org.verbenawheel.execution.HostCalls.HostState;
+import org.verbenawheel.job.RunEnding;
+import org.verbenawheel.job.StepSpecification;
+import org.verbenawheel.queue.FleetConfiguration;
+import org.verbenawheel.queue.InstallConfiguration;
+import org.verbenawheel.queue.WorkerPool;
+import org.verbenawheel.wave.WaveCommands.StartWave;
+
+/** Tests maintenance waves and the lending of spare hosts. */
+final class FleetHostsTest {
+  private final FleetTrial trial = new FleetTrial();
+
+  @BeforeEach
+  void configure() {
+    trial.apply(
+        new InstallConfiguration(
+            new FleetConfiguration(
+                1,
+                ImmutableList.of(),
+                ImmutableList.of(
+                    new WorkerPool("p", false, true), new WorkerPool("spares", true, true)),
+                "{}")));
+  }
+
+  @Test
+  void hostGoesDownOnlyOnceItsTasksHaveEnded() {
+    trial.report("w1");
+    addHost("w1", "p");
+    trial.submit("a", StepSpecification.builder().build());
+    trial.advance(Duration.ofMillis(300));
+
+    trial.apply(new StartWave(1, ImmutableList.of("host-w1"), 60_000, 1));
+    trial.advance(Duration.ofSeconds(1));
+    assertThat(trial.hosts().maintained()).isEmpty();
+
+    trial.worker("w1").endAll(RunEnding.DONE);
+    trial.advance(Duration.ofSeconds(2));
+    assertThat(trial.hosts().maintained()).containsExactly("host-w1");
+  }
+
+  @Test
+  void noMoreHostsAreDownThanTheWaveAllows() {
+    for (int number = 1; number <= 4; number++) {
+      trial.report("w" + number);
+      addHost("w" + number, "p");
+    }
+    trial.apply(
+        new StartWave(1, ImmutableList.of("host-w1", "host-w2", "host-w3", "host-w4"), 1_000, 2));
+
+    trial.advance(Duration.ofMillis(1_500));
+
+    assertThat(trial.hosts().maintained()).hasSize(2);
+  }
+
+  @Test
+  void lastingTaskMovesToAnotherWorkerFirst() {
+    trial.report("w1");
+    addHost("w1", "p");
+    trial.submit("a", StepSpecification.builder().longRunning(true).maximumUnavailable(1).build());
+    trial.advance(Duration.ofMillis(300));
+    trial.report("w2");
+
+    trial.apply(new StartWave(1, ImmutableList.of("host-w1"), 60_000, 1));
+    trial.advance(Duration.ofSeconds(3));
+
+    assertThat(trial.worker("w2").running()).containsExactly("a.0.0.0/2");
+    assertThat(trial.hosts().maintained()).containsExactly("host-w1");
+  }
+
+  @Test
+  void lastingTaskStaysWhileAnotherOfItsStepIsAway() {
+    trial.report("w1");
+    trial.report("w2");
+    addHost("w1", "p");
+    trial.submit(
+        "a",
+        StepSpecification.builder()
+            .taskCount(3)
+            .maximumPerWorker(1)
+            .longRunning(true)
+            .maximumUnavailable(1)
+            .build());
+    trial.advance(Duration.ofMillis(300));
+
+    trial.apply(new StartWave(1, ImmutableList.of("host-w1"), 60_000, 1));
+    trial.advance(Duration.ofSeconds(3));
+
+    assertThat(trial.worker("w1").running()).hasSize(1);
+    assertThat(trial.hosts().maintained()).isEmpty();
+  }
+
+  @Test
+  void spareHostIsLentToAPoolWhoseTasksWaitAndComesBack() {
+    trial.report("w1");
+    addHost("s1", "spares");
+    trial.submit("a", StepSpecification.builder().taskCount(40).uses(1_000, 1, 0).build());
+    trial.advance(Duration.ofSeconds(1));
+    assertThat(trial.hosts().pools()).containsEntry("host-s1", "p");
+
+    trial.report("s1");
+    trial.advance(Duration.ofMillis(500));
+    assertThat(trial.worker("s1").running()).hasSize(8);
+    trial.worker("w1").endAll(RunEnding.DONE);
+    trial.worker("s1").endAll(RunEnding.DONE);
+    trial.advance(Duration.ofSeconds(6));
+
+    assertThat(trial.hosts().pools()).containsEntry("host-s1", "spares");
+  }
+
+  @Test
+  void spareHostStaysOffWhileNothingWaits() {
+    trial.report("w1");
+    addHost("s1", "spares");
+    trial.submit("a", StepSpecification.builder().uses(1_000, 1, 0).build());
+
+    trial.advance(Duration.ofSeconds(5));
+
+    assertThat(trial.hosts().pools()).containsEntry("host-s1", "spares");
+  }
+
+  private void addHost(String worker, String pool) {
+    trial.hosts().add(new Host("host-" + worker, pool, HostState.UP, Optional.of(worker)));
+  }
+}
