Keep tasks from workers that fail everybody's, restart those that stand still, pace those that fill

Causes: a worker that fails fast has the most free room and draws the next task; a task that stands still held its step for ever; a task that fills may push one that serves over its target.

--- a/core/src/main/java/org/verbenawheel/event/Event.java
+++ b/core/src/main/java/org/verbenawheel/event/Event.java
@@ -89,6 +89,10 @@
   RUN_BOUND,
   /** A run of a task has ended. */
   RUN_ENDED,
+  /** A task was slowed down or sped up, for the sake of those beside it. */
+  RUN_PACED,
+  /** A task stands still on its worker and is stopped there. */
+  RUN_STALLED,
   /** An order to a worker got no clear answer or was refused. */
   WORKER_ORDER_FAILED,
   /** A worker joined, started anew or changed what it says of itself. */
--- a/core/src/main/java/org/verbenawheel/execution/FleetContext.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetContext.java
@@ -18,6 +18,7 @@
  * @param clock tells instants that never go back
  * @param stateThread the thread that owns the state and everything in this package
  * @param ends collects the ends of runs until they are committed
+ * @param trust tells which workers fail what others can do
  * @param firstFencingToken the lowest fencing token of this leadership
  * @param since when this leadership began
  */
@@ -28,6 +29,7 @@
     InstantSource clock,
     Executor stateThread,
     EndRecorder ends,
+    WorkerTrust trust,
     long firstFencingToken,
     Instant since) {
 
--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -81,6 +81,7 @@
             builder.clock,
             builder.stateThread,
             new EndRecorder(builder.sink, builder.stateThread, this::schedule),
+            new WorkerTrust(),
             term * FENCING_TOKENS_PER_TERM,
             builder.clock.instant());
     this.scheduler = new JobScheduler(this::poolOf);
@@ -316,6 +317,7 @@
       session.releaseAll(context.ledger().boundTo(worker.id()).asList(), reason);
     }
     lastReportSequence.remove(worker.id());
+    context.trust().forget(worker.id());
     context.calls().forget(worker.id());
     logger.atInfo().log(
         "%s",
@@ -368,7 +370,11 @@
       boolean stays =
           !evacuations.isCordoned(session.worker().id()) && !mover.isMoving(session.worker());
       if (session.takesTasks(now) && stays) {
-        WorkerRoom room = new WorkerRoom(session.worker(), mover.isBorrowed(session.worker()));
+        WorkerRoom room =
+            new WorkerRoom(
+                session.worker(),
+                mover.isBorrowed(session.worker()),
+                context.trust().failedOn(session.worker().id()));
         context.ledger().boundTo(session.worker().id()).forEach(room::take);
         rooms.add(room);
       }
--- a/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
@@ -44,6 +44,8 @@
   private final Map<TaskId, RunAttempt> attempts = new HashMap<>();
   private final Map<TaskId, Instant> stopsSentAt = new HashMap<>();
   private final Set<TaskId> stopsWanted = new HashSet<>();
+  private final StallDetector stalls = new StallDetector();
+  private final Pacer pacer;
   private Map<String, ListedRun> listed = new HashMap<>();
   private Worker worker;
   private WorkerClock clock;
@@ -60,6 +62,7 @@
   WorkerSession(FleetContext context, Worker worker) {
     this.context = context;
     this.worker = worker;
+    this.pacer = new Pacer(context);
     this.fencingToken = context.firstFencingToken();
     this.clock = new WorkerClock(context.timings(), context.since());
     this.nextLookAt = context.now();
@@ -85,6 +88,7 @@
         && failures == 0
         && confirmedToken >= context.firstFencingToken()
         && !now.isBefore(backOffUntil)
+        && !context.trust().isQuarantined(worker.id(), now)
         && lastContactAt
             .filter(at -> now.isBefore(at.plus(context.timings().contactTimeout())))
             .isPresent();
@@ -205,6 +209,18 @@
     confirmedToken = Math.max(confirmedToken, token);
     nextLookAt = now.plus(context.timings().lookPause());
     compare(listing, token, sentAt);
+    pacer.onListing(this, now);
+    stalls
+        .stalled(context.ledger().boundTo(worker.id()), listed, pacer.paced(), now)
+        .forEach(this::stopStalled);
+  }
+
+  private void stopStalled(TaskId task) {
+    if (stopsWanted.add(task)) {
+      logger.atWarning().log(
+          "%s", EventLine.of(Event.RUN_STALLED).with("worker", worker.id()).with("task", task));
+      context.trust().onEnd(worker.id(), task, RunEnding.FAILED, context.now());
+    }
   }
 
   /** The worker restarted under its id: its report will tell the rest. */
@@ -228,6 +244,7 @@
       ListedRun run = running.get(name);
       if (end != null) {
         ends.add(new RunEnd(name, task.run(), end.ending(), end.checkpoint()));
+        context.trust().onEnd(worker.id(), task.id(), end.ending(), context.now());
       } else if ((run == null || run.run() != task.run()) && isGone(task, token, sentAt)) {
         ends.add(new RunEnd(name, task.run(), RunEnding.NOT_STARTED, ""));
       }
--- a/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
@@ -70,7 +70,7 @@
   private static Optional<WorkerRoom> best(Task task, List<WorkerRoom> rooms) {
     return rooms.stream()
         .filter(room -> room.admits(task))
-        .max(Comparator.comparingLong(room -> room.preferenceFor(task.step())));
+        .max(Comparator.comparingLong(room -> room.preferenceFor(task)));
   }
 
   /** What one round has decided so far. */
--- a/core/src/main/java/org/verbenawheel/scheduling/WorkerRoom.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/WorkerRoom.java
@@ -1,15 +1,18 @@
 package org.verbenawheel.scheduling;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.Map;
 import org.verbenawheel.job.StepSpecification;
 import org.verbenawheel.job.Task;
+import org.verbenawheel.job.TaskId;
 import org.verbenawheel.worker.Worker;
 
 /** What is free on one worker while one round of decisions is made. Not thread-safe. */
 public final class WorkerRoom {
   private final Worker worker;
   private final boolean borrowed;
+  private final ImmutableSet<TaskId> failedHere;
   private final Map<StepKey, Integer> tasksOfStep = new HashMap<>();
   private int freeMillicores;
   private int freeMegabytes;
@@ -21,10 +24,12 @@
    * Makes the room of a worker on which nothing runs.
    *
    * @param borrowed whether its host is to be given back soon, so that tasks that last keep away
+   * @param failedHere tasks that failed there and are tried elsewhere first
    */
-  public WorkerRoom(Worker worker, boolean borrowed) {
+  public WorkerRoom(Worker worker, boolean borrowed, ImmutableSet<TaskId> failedHere) {
     this.worker = worker;
     this.borrowed = borrowed;
+    this.failedHere = failedHere;
     this.freeMillicores = worker.capacity().cpuMillicores();
     this.freeMegabytes = worker.capacity().memoryMegabytes();
     this.freeAccelerators = worker.capacity().accelerators();
@@ -32,7 +37,7 @@
 
   /** Returns an equal room, for trying a placement. */
   WorkerRoom copy() {
-    WorkerRoom copy = new WorkerRoom(worker, borrowed);
+    WorkerRoom copy = new WorkerRoom(worker, borrowed, failedHere);
     copy.tasksOfStep.putAll(tasksOfStep);
     copy.freeMillicores = freeMillicores;
     copy.freeMegabytes = freeMegabytes;
@@ -86,7 +91,8 @@
    * Returns how well the worker suits a task: higher is better. Tasks that fill keep away from
    * tasks that serve, then from full workers.
    */
-  long preferenceFor(StepSpecification step) {
+  long preferenceFor(Task task) {
+    StepSpecification step = task.step();
     long disturbed = 0;
     if (step.fillsLeftover()) {
       disturbed = servingTasks;
@@ -95,7 +101,12 @@
     }
     boolean near = step.preferredRack().isEmpty() || step.preferredRack().equals(worker.rack());
     boolean stays = !borrowed || !step.longRunning();
-    return (near ? 1L << 50 : 0) + (stays ? 1L << 48 : 0) - (disturbed << 40) + freeMillicores;
+    boolean untried = !failedHere.contains(task.id());
+    return (untried ? 1L << 52 : 0)
+        + (near ? 1L << 50 : 0)
+        + (stays ? 1L << 48 : 0)
+        - (disturbed << 40)
+        + freeMillicores;
   }
 
   /** Names a step of one occurrence of a job. */
--- a/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
+++ b/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
@@ -12,6 +12,7 @@
 import org.verbenawheel.execution.WorkerCalls.ListedRun;
 import org.verbenawheel.execution.WorkerCalls.Listing;
 import org.verbenawheel.execution.WorkerCalls.LookOrder;
+import org.verbenawheel.execution.WorkerCalls.PaceOrder;
 import org.verbenawheel.execution.WorkerCalls.StartAnswer;
 import org.verbenawheel.execution.WorkerCalls.StartOrder;
 import org.verbenawheel.execution.WorkerCalls.StartOutcome;
@@ -33,6 +34,10 @@
   private long lastEnd;
   private long highestToken;
   private long leaseEnd;
+  private final Map<String, Integer> paces = new LinkedHashMap<>();
+  private Optional<Integer> percent = Optional.empty();
+  private int progress = 100;
+  private int load;
   private int forgottenEnds;
   private boolean silent;
   private boolean loseNextStart;
@@ -68,6 +73,24 @@
         .collect(ImmutableSet.toImmutableSet());
   }
 
+  /** Lets all tasks stand still at so many percent. */
+  void setPercent(int value) {
+    percent = Optional.of(value);
+  }
+
+  void setLoad(int value) {
+    load = value;
+  }
+
+  int pace(String task) {
+    return paces.getOrDefault(task, 100);
+  }
+
+  CompletableFuture<Long> pace(PaceOrder order) {
+    paces.put(order.task().text(), order.percent());
+    return CompletableFuture.completedFuture(clock());
+  }
+
   void setSilent(boolean value) {
     silent = value;
   }
@@ -159,7 +182,9 @@
     ends.removeIf(end -> end.number() <= order.lastSeenEnd());
     forgottenEnds += before - ends.size();
     ImmutableList.Builder<ListedRun> runs = ImmutableList.builder();
-    running.forEach((task, run) -> runs.add(new ListedRun(task, run, "", 100, 0)));
+    progress++;
+    running.forEach(
+        (task, run) -> runs.add(new ListedRun(task, run, "", percent.orElse(progress), load)));
     return CompletableFuture.completedFuture(
         new Listing(clock(), Optional.of(born), runs.build(), ImmutableList.copyOf(ends)));
   }
--- a/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
@@ -173,6 +173,55 @@
     assertThat(trial.worker("w2").running()).containsExactly("a.0.0.0/2");
   }
 
+  @Test
+  void workerThatFailsEverybodysTasksGetsNoneForAWhile() {
+    trial.report("w1");
+    for (int number = 0; number < 4; number++) {
+      trial.submit("a" + number, StepSpecification.builder().build());
+    }
+    trial.advance(Duration.ofMillis(200));
+    trial.report("w2");
+    trial.worker("w1").endAll(RunEnding.FAILED);
+    trial.advance(Duration.ofSeconds(2));
+
+    trial.submit("b", StepSpecification.builder().taskCount(40).build());
+    trial.advance(Duration.ofMillis(500));
+
+    assertThat(trial.worker("w1").running()).isEmpty();
+    assertThat(trial.worker("w2").running()).hasSize(44);
+  }
+
+  @Test
+  void taskThatStandsStillIsStartedElsewhere() {
+    trial.report("w1");
+    trial.submit("a", StepSpecification.builder().build());
+    trial.advance(Duration.ofMillis(200));
+    trial.report("w2");
+    trial.worker("w1").setPercent(40);
+
+    trial.advance(Duration.ofSeconds(6));
+
+    assertThat(trial.worker("w2").running()).containsExactly("a.0.0.0/2");
+  }
+
+  @Test
+  void fillingTaskIsSlowedBesideAServingOneThatNearsItsTarget() {
+    trial.report("w1");
+    trial.submit("serving", StepSpecification.builder().longRunning(true).serves("i", 50).build());
+    trial.submit(
+        "filling", StepSpecification.builder().longRunning(true).fillsLeftover(true).build());
+    trial.advance(Duration.ofMillis(500));
+    trial.worker("w1").setLoad(49);
+
+    trial.advance(Duration.ofSeconds(4));
+    assertThat(trial.worker("w1").pace("filling.0.0.0")).isEqualTo(0);
+    assertThat(trial.worker("w1").pace("serving.0.0.0")).isEqualTo(100);
+
+    trial.worker("w1").setLoad(10);
+    trial.advance(Duration.ofMinutes(2));
+    assertThat(trial.worker("w1").pace("filling.0.0.0")).isEqualTo(100);
+  }
+
   @Test
   void cancelledJobsTasksAreStopped() {
     trial.report("w1");
--- a/core/src/test/java/org/verbenawheel/execution/FleetTrial.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetTrial.java
@@ -264,7 +264,7 @@
 
     @Override
     public CompletableFuture<Long> pace(Worker worker, PaceOrder order) {
-      return CompletableFuture.completedFuture(worker(worker.id()).clock());
+      return worker(worker.id()).pace(order);
     }
 
     @Override
--- a/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerTest.java
+++ b/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -31,6 +32,7 @@
   private final JobLedger ledger = new JobLedger(Duration.ofMinutes(2));
   private final JobScheduler scheduler = new JobScheduler(job -> job.limits().pool());
   private final List<Worker> workers = new ArrayList<>();
+  private final Map<String, ImmutableSet<TaskId>> failed = new HashMap<>();
   private Instant now = START;
   private long index;
 
@@ -108,6 +110,16 @@
     assertThat(decide()).containsExactly(new RunStart("a.0.0.0", 1, "near"));
   }
 
+  @Test
+  void taskIsTriedOnAnotherWorkerThanTheOneItFailedOn() {
+    worker("bad", 9_000, "r1");
+    worker("good", 2_000, "r1");
+    submit("a", 1_000, StepSpecification.builder().build());
+    failed.put("bad", ImmutableSet.of(new TaskId("a", 0, 0, 0)));
+
+    assertThat(decide()).containsExactly(new RunStart("a.0.0.0", 1, "good"));
+  }
+
   @Test
   void gangStartsWholeOrNotAtAll() {
     worker("w", 2_000, "r1");
@@ -235,7 +247,8 @@
   private Decision round() {
     List<WorkerRoom> rooms = new ArrayList<>();
     for (Worker worker : workers) {
-      WorkerRoom room = new WorkerRoom(worker, false);
+      WorkerRoom room =
+          new WorkerRoom(worker, false, failed.getOrDefault(worker.id(), ImmutableSet.of()));
       ledger.boundTo(worker.id()).forEach(room::take);
       rooms.add(room);
     }
