--- a/core/src/main/java/org/verbenawheel/job/Job.java
+++ b/core/src/main/java/org/verbenawheel/job/Job.java
@@ -92,6 +92,11 @@
     return occurrences.get(occurrence).get(step);
   }
 
+  /** Returns how many tasks of a step are not done. */
+  public int unfinishedTasks(int occurrence, int step) {
+    return unfinished[occurrence][step];
+  }
+
   /** Returns whether all tasks of a step are done. */
   public boolean isDone(int occurrence, int step) {
     return unfinished[occurrence][step] == 0;
