Believe the listing of a worker only while it answers; hold no caller while out of touch; metrics

Ruled out: two evacuations at once (one was under way). Test: FleetHostsTest, failing before. Besides: an entry that no leader has answered for 1.2 s holds callers for 0.6 s at most; elections after 0.65 s instead of 0.9 s; metrics and dumps on port 9464.

--- a/core/src/main/java/org/verbenawheel/execution/Evacuations.java
+++ b/core/src/main/java/org/verbenawheel/execution/Evacuations.java
@@ -121,7 +121,7 @@
   private boolean isAtWork(Task task) {
     StepSpecification step = task.step();
     Optional<WorkerSession> session = task.worker().map(sessions::get);
-    if (session.isEmpty() || session.get().isStopping(task.id())) {
+    if (session.isEmpty() || !session.get().isAnswering() || session.get().isStopping(task.id())) {
       return false;
     }
     ListedRun run = session.get().listed().get(task.id().text());
--- a/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
@@ -82,6 +82,11 @@
     return fencingToken;
   }
 
+  /** Returns whether the worker answered the last look, so that its listing can be believed. */
+  boolean isAnswering() {
+    return failures == 0;
+  }
+
   /** Returns whether the worker may be given tasks. */
   boolean takesTasks(Instant now) {
     return !worker.draining()
--- a/core/src/test/java/org/verbenawheel/execution/FleetHostsTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHostsTest.java
@@ -99,6 +99,31 @@
     assertThat(trial.hosts().maintained()).isEmpty();
   }
 
+  @Test
+  void lastingTaskStaysWhileAnotherOfItsStepIsOnASilentWorker() {
+    trial.report("w1");
+    trial.report("w2");
+    addHost("w1", "p");
+    trial.submit(
+        "a",
+        StepSpecification.builder()
+            .taskCount(2)
+            .maximumPerWorker(1)
+            .longRunning(true)
+            .maximumUnavailable(1)
+            .build());
+    trial.advance(Duration.ofMillis(300));
+    trial.report("w3");
+    trial.worker("w2").setSilent(true);
+    trial.advance(Duration.ofMillis(200));
+
+    trial.apply(new StartWave(1, ImmutableList.of("host-w1"), 60_000, 1));
+    trial.advance(Duration.ofSeconds(2));
+
+    assertThat(trial.worker("w1").running()).hasSize(1);
+    assertThat(trial.hosts().maintained()).isEmpty();
+  }
+
   @Test
   void spareHostIsLentToAPoolWhoseTasksWaitAndComesBack() {
     trial.report("w1");
--- /dev/null
+++ b/core/src/test/java/org/verbenawheel/gateway/QueueServiceTest.java
@@ -0,0 +1,141 @@
+package org.verbenawheel.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.verbenawheel.gateway.QueueAnswer.Outcome;
+import org.verbenawheel.gateway.QueueCall.Operation;
+import org.verbenawheel.job.JobLedger;
+import org.verbenawheel.job.JobPhase;
+import org.verbenawheel.job.JobSpecification;
+import org.verbenawheel.job.StepSpecification;
+import org.verbenawheel.queue.FleetConfiguration;
+import org.verbenawheel.queue.FleetConfigurationState;
+import org.verbenawheel.queue.InstallConfiguration;
+import org.verbenawheel.queue.QueueRoute;
+import org.verbenawheel.queue.WorkerPool;
+import org.verbenawheel.replication.ApplyContext;
+import org.verbenawheel.replication.CommandNotCommittedException;
+import org.verbenawheel.replication.CommandReply;
+import org.verbenawheel.replication.ControlCommand;
+import org.verbenawheel.request.RunVerdict;
+
+/** Tests {@link QueueService}. */
+final class QueueServiceTest {
+  private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+  private static final JobSpecification JOB =
+      new JobSpecification("x", ImmutableList.of(StepSpecification.builder().build()), 1, 0, 0);
+
+  private final FleetConfigurationState configuration = new FleetConfigurationState();
+  private final JobLedger ledger = new JobLedger(Duration.ofMinutes(2));
+  private final QueueService service = new QueueService(configuration, ledger, this::commit);
+  private Optional<RunVerdict> commitFails = Optional.empty();
+  private long index;
+
+  @BeforeEach
+  void configure() {
+    install(1, "/a/");
+  }
+
+  @Test
+  void jobIsStoredBeforeItIsAccepted() {
+    assertThat(submit("/a/j1")).isEqualTo(Outcome.ACCEPTED);
+    assertThat(ledger.find("j1")).isPresent();
+  }
+
+  @Test
+  void jobThatWasNotStoredIsNotAccepted() {
+    commitFails = Optional.of(RunVerdict.NOT_RUN);
+    assertThat(submit("/a/j1")).isEqualTo(Outcome.NOT_DONE);
+
+    commitFails = Optional.of(RunVerdict.MAY_HAVE_RUN);
+    assertThat(submit("/a/j1")).isEqualTo(Outcome.UNKNOWN);
+  }
+
+  @Test
+  void resentJobIsAcceptedAgainThoughItWasCancelled() {
+    submit("/a/j1");
+    assertThat(call(Operation.CANCEL, "/a/j1").outcome()).isEqualTo(Outcome.CANCELLED);
+
+    assertThat(submit("/a/j1")).isEqualTo(Outcome.ACCEPTED);
+    assertThat(call(Operation.READ, "/a/j1").phase()).hasValue(JobPhase.CANCELLED);
+  }
+
+  @Test
+  void unknownPlacesAndJobsAreTold() {
+    assertThat(submit("/b/j1")).isEqualTo(Outcome.NO_SUCH_QUEUE);
+    assertThat(call(Operation.READ, "/a/j1").outcome()).isEqualTo(Outcome.NO_SUCH_JOB);
+    assertThat(call(Operation.CANCEL, "/a/j1").outcome()).isEqualTo(Outcome.NO_SUCH_JOB);
+  }
+
+  @Test
+  void jobWithoutStepsIsInvalid() {
+    JobSpecification empty = new JobSpecification("x", ImmutableList.of(), 1, 0, 0);
+    QueueCall call = new QueueCall(Operation.SUBMIT, "h", "/a/j1", Optional.of(empty));
+
+    assertThat(service.answer(call).join().outcome()).isEqualTo(Outcome.INVALID);
+  }
+
+  @Test
+  void idThatCannotNameTasksIsInvalid() {
+    assertThat(submit("/a/one.two")).isEqualTo(Outcome.INVALID);
+    assertThat(submit("/a/")).isEqualTo(Outcome.INVALID);
+  }
+
+  @Test
+  void queueTellsHowManyJobsWait() {
+    submit("/a/j1");
+    submit("/a/j2");
+
+    assertThat(call(Operation.READ, "/a/").waitingJobs()).isEqualTo(2);
+  }
+
+  @Test
+  void onlyTheHighestVersionIsInForce() {
+    install(3, "/c/");
+    install(2, "/b/");
+
+    assertThat(submit("/b/j1")).isEqualTo(Outcome.NO_SUCH_QUEUE);
+    assertThat(submit("/c/j1")).isEqualTo(Outcome.ACCEPTED);
+  }
+
+  private void install(long version, String prefix) {
+    QueueRoute queue = new QueueRoute("q", "h", prefix, "p", 3_000, 0, 3, 1.6, 600, false);
+    FleetConfiguration wanted =
+        new FleetConfiguration(
+            version,
+            ImmutableList.of(queue),
+            ImmutableList.of(new WorkerPool("p", false, true)),
+            "{}");
+    commit(new InstallConfiguration(wanted)).join();
+  }
+
+  private CompletableFuture<CommandReply> commit(ControlCommand command) {
+    if (commitFails.isPresent()) {
+      return CompletableFuture.failedFuture(
+          new CommandNotCommittedException(commitFails.get(), "as told"));
+    }
+    ApplyContext context = new ApplyContext(++index, NOW);
+    return CompletableFuture.completedFuture(
+        ledger.commandKinds().contains(command.getClass())
+            ? ledger.apply(command, context)
+            : configuration.apply(command, context));
+  }
+
+  private Outcome submit(String path) {
+    return service
+        .answer(new QueueCall(Operation.SUBMIT, "h", path, Optional.of(JOB)))
+        .join()
+        .outcome();
+  }
+
+  private QueueAnswer call(Operation operation, String path) {
+    return service.answer(new QueueCall(operation, "h", path, Optional.empty())).join();
+  }
+}
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -1,6 +1,7 @@
 package org.verbenawheel.fleet;
 
 import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.nio.file.Path;
@@ -10,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.verbenawheel.daemon.DaemonState;
 import org.verbenawheel.daemon.PartDumps;
 import org.verbenawheel.execution.FleetLeadership;
 import org.verbenawheel.execution.HostCalls;
@@ -45,12 +47,14 @@
 /**
  * One control process of a fleet deployment: a replica and, while it leads, the workers' leader.
  */
-public final class FleetControl implements PeerHandler {
+public final class FleetControl implements PeerHandler, DaemonState {
   private static final Duration COMMAND_TIMEOUT = Duration.ofSeconds(3);
   private static final int SNAPSHOT_EVERY_ENTRIES = 5_000;
+
+  /** Zones are milliseconds apart; a pause of the virtual machine stays well below the timeout. */
   private static final ReplicationTimings REPLICATION =
       new ReplicationTimings(
-          Duration.ofMillis(150), Duration.ofMillis(900), Duration.ofMillis(720));
+          Duration.ofMillis(120), Duration.ofMillis(650), Duration.ofMillis(520));
 
   private final FleetSettings settings;
   private final MetricRegistry metrics = new MetricRegistry();
@@ -118,6 +122,15 @@
     this.loop = new LeaderLoop(replica, clock, leaderships::begin);
     peers.addHandler(replica);
     peers.addHandler(this);
+    registerGauges();
+  }
+
+  private void registerGauges() {
+    metrics.gauge("replica.term", () -> () -> replica.status().map(ReplicaStatus::term).orElse(0L));
+    metrics.gauge(
+        "replica.commitIndex",
+        () -> () -> replica.status().map(ReplicaStatus::commitIndex).orElse(0L));
+    metrics.gauge("replica.mayDecide", () -> () -> replica.mayDecide() ? 1 : 0);
   }
 
   /** Returns the parts to supervise, in the order of their start. */
@@ -130,12 +143,18 @@
     draining = true;
   }
 
-  /** Returns the metrics of this process. */
+  @Override
   public MetricRegistry metrics() {
     return metrics;
   }
 
-  /** Returns the state of this process for a person. */
+  /** Returns whether this process knows a leader, which may be itself. */
+  @Override
+  public boolean ready() {
+    return !draining && replica.status().flatMap(ReplicaStatus::leader).isPresent();
+  }
+
+  @Override
   public Object dump() {
     return ImmutableMap.of(
         "process", settings.process(), "replica", PartDumps.orNoAnswer(replica.dump()));
@@ -230,7 +249,10 @@
   }
 
   private CompletableFuture<CommandReply> commit(ControlCommand command) {
-    return replica.submitAsLeader(new CommandEnvelope(Optional.empty(), command));
+    Timer.Context timing = metrics.timer("commits." + command.getClass().getSimpleName()).time();
+    return replica
+        .submitAsLeader(new CommandEnvelope(Optional.empty(), command))
+        .whenComplete((reply, failure) -> timing.stop());
   }
 
   @Override
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetEntry.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetEntry.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
+import org.verbenawheel.daemon.DaemonState;
 import org.verbenawheel.gateway.QueueAnswer;
 import org.verbenawheel.gateway.QueueCall;
 import org.verbenawheel.gateway.QueueCall.Operation;
@@ -21,7 +22,7 @@
 import org.verbenawheel.wire.PeerNode;
 
 /** One entry of a fleet deployment: passes callers' requests to the leader, and keeps nothing. */
-public final class FleetEntry {
+public final class FleetEntry implements DaemonState {
   private static final Duration CONTACT = Duration.ofSeconds(3);
   private static final Duration PROBE_LIMIT = Duration.ofSeconds(1);
   private static final long DRAIN_POLL_NANOSECONDS = 20_000_000;
@@ -56,15 +57,14 @@
     return ImmutableList.of(peers);
   }
 
-  /** Returns the metrics of this process. */
+  @Override
   public MetricRegistry metrics() {
     return metrics;
   }
 
-  /** Returns the state of this process for a person. */
+  @Override
   public Object dump() {
-    return ImmutableMap.of(
-        "process", settings.process(), "ready", isReady(), "peers", peers.dump());
+    return ImmutableMap.of("process", settings.process(), "ready", ready(), "peers", peers.dump());
   }
 
   /** Takes other control processes to learn the leader from. */
@@ -95,7 +95,8 @@
   }
 
   /** Returns whether new callers may come: a leader has answered lately and nothing stops. */
-  public boolean isReady() {
+  @Override
+  public boolean ready() {
     boolean inTouch = clock.instant().isBefore(calls.lastAnswerAt().plus(CONTACT));
     if (!inTouch) {
       probe();
--- a/daemon/src/main/java/org/verbenawheel/fleet/QueueCalls.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/QueueCalls.java
@@ -33,8 +33,14 @@
 final class QueueCalls {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Longer than a commit takes on a slow disk, short enough for a second try. */
-  private static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(1_200);
+  /** Longer than a commit takes on a slow disk, short enough for several tries. */
+  private static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(700);
+
+  /** After so long without any answer this entry is cut off, or there is no leader. */
+  private static final Duration OUT_OF_TOUCH = Duration.ofMillis(1_200);
+
+  /** How long a caller is held while this entry is out of touch; another entry may do better. */
+  private static final Duration OUT_OF_TOUCH_LIMIT = Duration.ofMillis(600);
 
   /** An election lasts about a second; asking more often finds nobody. */
   private static final Duration RETRY_PAUSE = Duration.ofMillis(60);
@@ -97,6 +103,7 @@
   /** One request and its attempts. */
   private final class Exchange {
     private final QueueCall call;
+    private final Instant startedAt = clock.instant();
     private final Instant deadline;
     private final CompletableFuture<QueueAnswer> result = new CompletableFuture<>();
     private boolean mayHaveRun;
@@ -107,8 +114,12 @@
     }
 
     void attempt() {
-      Duration left = Duration.between(clock.instant(), deadline);
-      if (left.toMillis() <= 0) {
+      Instant now = clock.instant();
+      Duration left = Duration.between(now, deadline);
+      boolean outOfTouch =
+          now.isAfter(lastAnswerAt.plus(OUT_OF_TOUCH))
+              && now.isAfter(startedAt.plus(OUT_OF_TOUCH_LIMIT));
+      if (left.toMillis() <= 0 || outOfTouch) {
         giveUp();
         return;
       }
