--- a/core/src/main/java/org/verbenawheel/replication/Formation.java
+++ b/core/src/main/java/org/verbenawheel/replication/Formation.java
@@ -127,6 +127,10 @@
       core.send(introduction.process(), new Founding(introduction.replica(), founding.get()));
       return;
     }
+    if (core.members().find(introduction.replica()).isPresent()) {
+      // A member needs no answer; two that answered each other would never end.
+      return;
+    }
     core.send(
         introduction.process(),
         new Introduction(
--- a/core/src/main/java/org/verbenawheel/replication/Leadership.java
+++ b/core/src/main/java/org/verbenawheel/replication/Leadership.java
@@ -29,14 +29,16 @@
   private final List<PendingRead> reads = new ArrayList<>();
   private long termStartIndex;
   private long round;
-  private long commitIndexAtHeartbeat;
+  private long commitIndexAtCheck;
   private Instant nextHeartbeat;
+  private Instant nextMemberCheck;
 
   Leadership(ReplicaCore core, ClusterRules rules, Instant now) {
     this.core = core;
     this.rules = rules;
     this.electedAt = now;
     this.nextHeartbeat = now;
+    this.nextMemberCheck = now;
   }
 
   /** Appends the entry that commits those of earlier terms, and tells the others. */
@@ -48,10 +50,17 @@
 
   /** Sends heartbeats when they are due, and changes one member if one is to be changed. */
   void onTick(Instant now) {
-    if (now.isBefore(nextHeartbeat)) {
-      return;
+    if (!now.isBefore(nextHeartbeat)) {
+      sendHeartbeats(now);
     }
-    sendHeartbeats(now);
+    // Reads send heartbeats too, so these alone would put off changes of members for ever.
+    if (!now.isBefore(nextMemberCheck)) {
+      nextMemberCheck = now.plus(core.timings().heartbeat());
+      checkMembers(now);
+    }
+  }
+
+  private void checkMembers(Instant now) {
     if (mayChangeMembers()) {
       MemberChanges.next(
               core.members(),
@@ -61,7 +70,7 @@
               rules.maximumVoters())
           .ifPresent(members -> changeMembers(now, members));
     }
-    commitIndexAtHeartbeat = core.commitIndex();
+    commitIndexAtCheck = core.commitIndex();
   }
 
   /** Appends commands and sends them on. Returns the index of the first. */
@@ -85,9 +94,9 @@
         && core.log().lastMembersIndex() <= core.commitIndex();
   }
 
-  /** Returns whether a replica has on disk all that was committed at the heartbeat before. */
+  /** Returns whether a replica has on disk all that was committed at the check before. */
   private boolean isCaughtUp(Member member) {
-    return progressOf(member).matchIndex() >= Math.max(commitIndexAtHeartbeat, termStartIndex);
+    return progressOf(member).matchIndex() >= Math.max(commitIndexAtCheck, termStartIndex);
   }
 
   private boolean isSilent(Member voter, Instant now) {
--- a/core/src/test/java/org/verbenawheel/replication/JoiningReplicaTest.java
+++ b/core/src/test/java/org/verbenawheel/replication/JoiningReplicaTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.verbenawheel.identity.ProcessId;
 
@@ -42,6 +43,45 @@
     assertThat(members(leader).retired()).hasSize(1);
   }
 
+  @Test
+  void readsDoNotHoldUpAReplacement() {
+    ProcessId leader = replicas.awaitLeader();
+    ProcessId lost = followerOf(leader);
+    replicas.join(lost, leader);
+
+    for (int tick = 0; tick < 300; tick++) {
+      replicas.read(leader, tick);
+      replicas.advance(ImmediateReplicas.TICK);
+    }
+
+    assertThat(votes(leader, lost)).isTrue();
+    assertThat(members(leader).retired()).hasSize(1);
+  }
+
+  @Test
+  void membersDoNotAnswerEachOthersIntroductions() {
+    ProcessId leader = replicas.awaitLeader();
+    Member follower = members(leader).voterOf(followerOf(leader)).orElseThrow();
+
+    var effects =
+        replicas
+            .replica(leader)
+            .onMessage(
+                replicas.now(),
+                follower.process(),
+                new ReplicationMessage.Introduction(
+                    follower.process(),
+                    follower.replica(),
+                    Optional.of(members(leader).cluster())));
+
+    assertThat(effects.stream().filter(JoiningReplicaTest::isIntroduction).toList()).isEmpty();
+  }
+
+  private static boolean isIntroduction(Effect effect) {
+    return effect instanceof Effect.Send send
+        && send.message() instanceof ReplicationMessage.Introduction;
+  }
+
   @Test
   void sixthReplicaWaitsUntilAVoterIsSilent() {
     ProcessId leader = replicas.awaitLeader();
