--- a/core/src/main/java/org/verbenawheel/execution/Evacuations.java
+++ b/core/src/main/java/org/verbenawheel/execution/Evacuations.java
@@ -96,7 +96,7 @@
         worker.map(id -> context.ledger().boundTo(id).asList()).orElse(ImmutableList.of())) {
       empty = false;
       if (mayStop(task, evacuation.since(), now, pressing)) {
-        task.worker().map(sessions::get).ifPresent(session -> session.stop(task.id()));
+        task.worker().map(sessions::get).ifPresent(session -> session.orders().stop(task.id()));
       }
     }
     return empty;
@@ -121,7 +121,9 @@
   private boolean isAtWork(Task task) {
     StepSpecification step = task.step();
     Optional<WorkerSession> session = task.worker().map(sessions::get);
-    if (session.isEmpty() || !session.get().isAnswering() || session.get().isStopping(task.id())) {
+    if (session.isEmpty()
+        || !session.get().isAnswering()
+        || session.get().orders().isStopping(task.id())) {
       return false;
     }
     ListedRun run = session.get().listed().get(task.id().text());
--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -14,11 +14,8 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.LongSupplier;
-import java.util.stream.Stream;
-import org.jspecify.annotations.Nullable;
 import org.verbenawheel.event.Event;
 import org.verbenawheel.event.EventLine;
 import org.verbenawheel.job.Job;
@@ -36,9 +33,6 @@
 import org.verbenawheel.scheduling.WorkerRoom;
 import org.verbenawheel.wave.UpkeepPhase;
 import org.verbenawheel.wave.WaveLedger;
-import org.verbenawheel.worker.Worker;
-import org.verbenawheel.worker.WorkerCommands.ForgetWorker;
-import org.verbenawheel.worker.WorkerCommands.RecordWorker;
 import org.verbenawheel.worker.WorkerRegistry;
 
 /**
@@ -52,13 +46,12 @@
   private static final long FENCING_TOKENS_PER_TERM = 1L << 16;
 
   private final FleetContext context;
-  private final WorkerRegistry registry;
   private final FleetConfigurationState configuration;
   private final CommandSink sink;
   private final LongSupplier timeOfDayMilliseconds;
   private final JobScheduler scheduler;
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
-  private final Map<String, Long> lastReportSequence = new LinkedHashMap<>();
+  private final WorkerRoster roster;
   private final Evacuations evacuations;
   private final WaveController waves;
   private final WaveLedger waveLedger;
@@ -70,7 +63,6 @@
 
   private FleetLeadership(Builder builder, long term) {
     this.sink = builder.sink;
-    this.registry = builder.registry;
     this.configuration = builder.configuration;
     this.timeOfDayMilliseconds = builder.timeOfDayMilliseconds;
     this.context =
@@ -84,6 +76,8 @@
             new WorkerTrust(),
             term * FENCING_TOKENS_PER_TERM,
             builder.clock.instant());
+    this.roster =
+        new WorkerRoster(context, builder.registry, builder.sink, sessions, this::schedule);
     this.scheduler = new JobScheduler(this::poolOf);
     this.evacuations = new Evacuations(context, sessions, this::isIdlePool, this::onWorkerEnded);
     HostCalls.Authority authority = new HostCalls.Authority(builder.process, term);
@@ -106,7 +100,6 @@
             authority,
             builder.moveTimings,
             this::onWorkerEnded);
-    registry.all().forEach(worker -> sessions.put(worker.id(), new WorkerSession(context, worker)));
     logger.atInfo().log(
         "%s",
         EventLine.of(Event.FLEET_COMMAND)
@@ -166,7 +159,7 @@
     for (WorkerSession session : ImmutableList.copyOf(sessions.values())) {
       session.onTick(now);
       if (session.isForgettable(now)) {
-        dismiss(session.worker(), "silent");
+        roster.dismiss(session.worker(), "silent");
       }
     }
     releaseOrphans();
@@ -198,131 +191,9 @@
     }
   }
 
-  /**
-   * Takes a worker's report of itself.
-   *
-   * @param reported the worker as it announced itself
-   * @param sequence numbers the reports of one life of a worker
-   * @param clockMilliseconds the worker's clock
-   * @return done once a leader's successor would know of it too
-   */
-  public CompletableFuture<?> onReport(
-      Worker reported, long sequence, Optional<Long> clockMilliseconds) {
-    Optional<Worker> known = registry.find(reported.id());
-    if (isOutdated(reported, sequence, known) || isSuperseded(reported)) {
-      return CompletableFuture.completedFuture(null);
-    }
-    lastReportSequence.put(reported.id(), sequence);
-    endPredecessors(reported);
-    if (known.filter(reported::equals).isPresent()) {
-      takeReport(reported, clockMilliseconds);
-      return CompletableFuture.completedFuture(null);
-    }
-    CompletableFuture<Object> recorded = new CompletableFuture<>();
-    context.whenDone(
-        sink.commit(new RecordWorker(reported)),
-        (reply, failure) -> {
-          if (reply != null) {
-            logger.atInfo().log(
-                "%s",
-                EventLine.of(Event.WORKER_RECORDED)
-                    .with("worker", reported.id())
-                    .with("born", reported.bornAtMilliseconds())
-                    .with("pool", reported.pool())
-                    .with("address", reported.address())
-                    .with("draining", reported.draining()));
-            takeReport(reported, clockMilliseconds);
-            recorded.complete(reply);
-          } else {
-            recorded.completeExceptionally(orUnknown(failure));
-          }
-        });
-    return recorded;
-  }
-
-  private static Throwable orUnknown(@Nullable Throwable failure) {
-    return failure == null ? new IllegalStateException("no reply and no failure") : failure;
-  }
-
-  private boolean isOutdated(Worker reported, long sequence, Optional<Worker> known) {
-    if (known.isEmpty() || reported.bornAtMilliseconds() > known.get().bornAtMilliseconds()) {
-      return false;
-    }
-    boolean earlierLife = reported.bornAtMilliseconds() < known.get().bornAtMilliseconds();
-    return earlierLife || sequence <= lastReportSequence.getOrDefault(reported.id(), -1L);
-  }
-
-  /** Returns whether a worker that was born later has the address: the report came late. */
-  private boolean isSuperseded(Worker reported) {
-    return rivalsOf(reported)
-        .anyMatch(other -> other.bornAtMilliseconds() >= reported.bornAtMilliseconds());
-  }
-
-  /** Returns the workers that cannot live beside this one: a host and an address have one each. */
-  private Stream<Worker> rivalsOf(Worker reported) {
-    return registry.all().stream()
-        .filter(other -> !other.id().equals(reported.id()))
-        .filter(
-            other ->
-                other.address().equals(reported.address())
-                    || (!other.host().isEmpty() && other.host().equals(reported.host())));
-  }
-
-  private void endPredecessors(Worker reported) {
-    rivalsOf(reported).forEach(other -> dismiss(other, "its host or address has a new worker"));
-  }
-
-  private void takeReport(Worker reported, Optional<Long> clockMilliseconds) {
-    WorkerSession session =
-        sessions.computeIfAbsent(reported.id(), unused -> new WorkerSession(context, reported));
-    session.onReport(reported, clockMilliseconds);
-    schedule();
-  }
-
-  /**
-   * Takes the word of a worker that it ends now.
-   *
-   * @param id the worker
-   * @param bornAtMilliseconds which life of it ends; empty for the one that is known
-   * @return done once it is forgotten
-   */
-  public CompletableFuture<?> onLeave(String id, Optional<Long> bornAtMilliseconds) {
-    Optional<Worker> leaving =
-        registry
-            .find(id)
-            .filter(
-                known ->
-                    bornAtMilliseconds
-                        .filter(born -> born != known.bornAtMilliseconds())
-                        .isEmpty());
-    return leaving
-        .<CompletableFuture<?>>map(worker -> forget(worker, "it said that it ends"))
-        .orElseGet(() -> CompletableFuture.completedFuture(null));
-  }
-
-  private void dismiss(Worker worker, String reason) {
-    context.whenDone(
-        forget(worker, reason),
-        (reply, failure) -> {
-          if (failure != null) {
-            logger.atWarning().withCause(failure).log(
-                "%s", EventLine.of(Event.WORKER_FORGOTTEN).with("worker", worker.id()));
-          }
-        });
-  }
-
-  private CompletableFuture<?> forget(Worker worker, String reason) {
-    WorkerSession session = sessions.remove(worker.id());
-    if (session != null) {
-      session.releaseAll(context.ledger().boundTo(worker.id()).asList(), reason);
-    }
-    lastReportSequence.remove(worker.id());
-    context.trust().forget(worker.id());
-    context.calls().forget(worker.id());
-    logger.atInfo().log(
-        "%s",
-        EventLine.of(Event.WORKER_FORGOTTEN).with("worker", worker.id()).with("reason", reason));
-    return sink.commit(new ForgetWorker(worker.id(), worker.bornAtMilliseconds()));
+  /** Returns the workers, to take their reports. */
+  public WorkerRoster roster() {
+    return roster;
   }
 
   /** Ends the leadership: no order is sent any more. */
@@ -353,7 +224,7 @@
     bindingUnderWay = true;
     for (RunStart start : starts) {
       TaskId.parse(start.task())
-          .ifPresent(task -> requireSession(start.worker()).onBinding(task, start.run()));
+          .ifPresent(task -> requireSession(start.worker()).orders().onBinding(task, start.run()));
     }
     context.whenDone(
         sink.commit(new RecordStarts(starts)),
@@ -410,7 +281,7 @@
       return;
     }
     if (task.isEmpty()) {
-      session.onNotBound(id);
+      session.orders().onNotBound(id);
       return;
     }
     logger.atInfo().log(
@@ -419,7 +290,7 @@
             .with("task", start.task())
             .with("run", start.run())
             .with("worker", start.worker()));
-    session.start(task.get(), Optional.empty());
+    session.orders().start(task.get(), Optional.empty());
   }
 
   private boolean isIdlePool(String pool) {
@@ -427,7 +298,7 @@
   }
 
   private void onWorkerEnded(String id) {
-    registry.find(id).ifPresent(worker -> dismiss(worker, "its host went down as ordered"));
+    roster.dismiss(id, "its host went down or moved as ordered");
   }
 
   /** Returns the pool that runs a job's queue now; the one at its acceptance if the queue left. */
--- a/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
@@ -5,12 +5,9 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.verbenawheel.event.Event;
 import org.verbenawheel.event.EventLine;
@@ -18,15 +15,10 @@
 import org.verbenawheel.execution.WorkerCalls.ListedRun;
 import org.verbenawheel.execution.WorkerCalls.Listing;
 import org.verbenawheel.execution.WorkerCalls.LookOrder;
-import org.verbenawheel.execution.WorkerCalls.StartAnswer;
-import org.verbenawheel.execution.WorkerCalls.StartOrder;
-import org.verbenawheel.execution.WorkerCalls.StartOutcome;
-import org.verbenawheel.execution.WorkerCalls.StopOrder;
 import org.verbenawheel.job.JobCommands.RunEnd;
 import org.verbenawheel.job.RunEnding;
 import org.verbenawheel.job.Task;
 import org.verbenawheel.job.TaskId;
-import org.verbenawheel.request.RunVerdict;
 import org.verbenawheel.worker.Worker;
 
 /**
@@ -41,9 +33,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final FleetContext context;
-  private final Map<TaskId, RunAttempt> attempts = new HashMap<>();
-  private final Map<TaskId, Instant> stopsSentAt = new HashMap<>();
-  private final Set<TaskId> stopsWanted = new HashSet<>();
+  private final RunOrders orders;
   private final StallDetector stalls = new StallDetector();
   private final Pacer pacer;
   private Map<String, ListedRun> listed = new HashMap<>();
@@ -63,6 +53,7 @@
     this.context = context;
     this.worker = worker;
     this.pacer = new Pacer(context);
+    this.orders = new RunOrders(context, this);
     this.fencingToken = context.firstFencingToken();
     this.clock = new WorkerClock(context.timings(), context.since());
     this.nextLookAt = context.now();
@@ -78,10 +69,32 @@
     return listed;
   }
 
+  /** Returns the orders to start and stop runs. */
+  RunOrders orders() {
+    return orders;
+  }
+
   long fencingToken() {
     return fencingToken;
   }
 
+  /** Returns the end of a lease that begins now; empty while the worker's clock is unknown. */
+  Optional<Long> grantLease(Instant now) {
+    return clock.grant(now);
+  }
+
+  /** Takes the clock of an answer. */
+  void onAnswer(Optional<Long> clockMilliseconds) {
+    Instant now = context.now();
+    clockMilliseconds.ifPresent(reading -> clock.onReading(reading, now));
+    lastContactAt = Optional.of(now);
+  }
+
+  /** Gives the worker no new tasks for a moment. */
+  void backOff() {
+    backOffUntil = context.now().plus(context.timings().lookRetry());
+  }
+
   /** Returns whether the worker answered the last look, so that its listing can be believed. */
   boolean isAnswering() {
     return failures == 0;
@@ -126,7 +139,8 @@
     raiseFence();
   }
 
-  private void raiseFence() {
+  /** Lets the worker refuse all orders that are under way. */
+  void raiseFence() {
     fencingToken++;
     nextLookAt = context.now();
   }
@@ -137,7 +151,9 @@
     if (failures > 0 && !bound.isEmpty() && clock.isEveryLeaseOver(now)) {
       releaseAll(bound, "every lease is over");
     }
-    sendStops(bound, now);
+    if (confirmedToken >= context.firstFencingToken()) {
+      orders.sendStops(bound, now);
+    }
     boolean wanted = !bound.isEmpty() || confirmedToken < fencingToken;
     boolean free = looksInFlight == 0 || fencingToken > lookTokenInFlight;
     if (wanted && free && !now.isBefore(nextLookAt)) {
@@ -221,7 +237,8 @@
   }
 
   private void stopStalled(TaskId task) {
-    if (stopsWanted.add(task)) {
+    if (!orders.isStopping(task)) {
+      orders.stop(task);
       logger.atWarning().log(
           "%s", EventLine.of(Event.RUN_STALLED).with("worker", worker.id()).with("task", task));
       context.trust().onEnd(worker.id(), task, RunEnding.FAILED, context.now());
@@ -250,7 +267,7 @@
       if (end != null) {
         ends.add(new RunEnd(name, task.run(), end.ending(), end.checkpoint()));
         context.trust().onEnd(worker.id(), task.id(), end.ending(), context.now());
-      } else if ((run == null || run.run() != task.run()) && isGone(task, token, sentAt)) {
+      } else if ((run == null || run.run() != task.run()) && orders.isGone(task, token, sentAt)) {
         ends.add(new RunEnd(name, task.run(), RunEnding.NOT_STARTED, ""));
       }
     }
@@ -262,32 +279,11 @@
     }
   }
 
-  private boolean isGone(Task task, long token, Instant sentAt) {
-    RunAttempt attempt = attempts.get(task.id());
-    // Without an attempt of this leadership the order came from an earlier one, which is fenced.
-    return attempt == null
-        || attempt.run() != task.run()
-        || attempt.isGoneIfUnlisted(token, sentAt);
-  }
-
   private void onEndsRecorded(Worker listedWorker, long newest, List<RunEnd> ends) {
     if (listedWorker.isSameLife(worker)) {
       lastSeenEnd = Math.max(lastSeenEnd, newest);
     }
-    ends.forEach(end -> forgetAttempt(end));
-  }
-
-  private void forgetAttempt(RunEnd end) {
-    TaskId.parse(end.task())
-        .ifPresent(
-            task -> {
-              RunAttempt attempt = attempts.get(task);
-              if (attempt != null && attempt.run() == end.run()) {
-                attempts.remove(task);
-              }
-              stopsWanted.remove(task);
-              stopsSentAt.remove(task);
-            });
+    ends.forEach(orders::forget);
   }
 
   /** Stops what runs here without being bound here. */
@@ -301,138 +297,11 @@
               .filter(worker.id()::equals)
               .isPresent();
       if (id.isPresent() && !expected) {
-        sendStop(id.get(), run.run());
-      }
-    }
-  }
-
-  /** Notes that a run is about to be bound to this worker. */
-  void onBinding(TaskId task, int run) {
-    attempts.put(task, new RunAttempt(run));
-  }
-
-  /** Forgets a run that could not be bound. */
-  void onNotBound(TaskId task) {
-    attempts.remove(task);
-  }
-
-  /** Orders the start of a run that is bound to this worker. */
-  void start(Task task, Optional<String> ticket) {
-    Instant now = context.now();
-    RunAttempt attempt = attempts.get(task.id());
-    Optional<Long> leaseEnd = clock.grant(now);
-    int run = task.run();
-    if (attempt == null || leaseEnd.isEmpty()) {
-      onStartRefused(task.id(), run, "the worker's clock is unknown");
-      return;
-    }
-    long token = fencingToken;
-    attempt.onSent(token);
-    StartOrder order =
-        new StartOrder(
-            task.id(),
-            run,
-            task.job().specification().payload(),
-            leaseEnd.get(),
-            token,
-            task.checkpoint(),
-            ticket);
-    context.whenDone(
-        context.calls().start(worker, order),
-        (answer, failure) -> {
-          if (answer != null) {
-            onStartAnswer(task.id(), attempt, answer);
-          } else {
-            onStartFailed(task.id(), attempt, failure);
-          }
-        });
-  }
-
-  private void onStartAnswer(TaskId task, RunAttempt attempt, StartAnswer answer) {
-    Instant now = context.now();
-    answer.clockMilliseconds().ifPresent(reading -> clock.onReading(reading, now));
-    lastContactAt = Optional.of(now);
-    if (answer.outcome() == StartOutcome.STARTED) {
-      attempt.onConfirmed(now);
-      return;
-    }
-    backOffUntil = now.plus(context.timings().lookRetry());
-    onStartRefused(task, attempt.run(), answer.outcome().name());
-  }
-
-  private void onStartFailed(TaskId task, RunAttempt attempt, @Nullable Throwable failure) {
-    boolean neverRuns =
-        failure instanceof WorkerCallException refused && refused.verdict() == RunVerdict.NOT_RUN;
-    backOffUntil = context.now().plus(context.timings().lookRetry());
-    if (neverRuns) {
-      onStartRefused(task, attempt.run(), String.valueOf(failure));
-      return;
-    }
-    logRefusal(task, attempt.run(), "no clear answer, fence raised: " + failure);
-    raiseFence();
-  }
-
-  private void onStartRefused(TaskId task, int run, String reason) {
-    logRefusal(task, run, reason);
-    RunEnd end = new RunEnd(task.text(), run, RunEnding.NOT_STARTED, "");
-    context.ends().record(ImmutableList.of(end), () -> forgetAttempt(end));
-  }
-
-  private void logRefusal(TaskId task, int run, String reason) {
-    logger.atWarning().atMostEvery(10, TimeUnit.MILLISECONDS).log(
-        "%s",
-        EventLine.of(Event.WORKER_ORDER_FAILED)
-            .with("worker", worker.id())
-            .with("task", task)
-            .with("run", run)
-            .with("fencing_token", fencingToken)
-            .with("reason", reason));
-  }
-
-  /** Stops a run that is bound to this worker, until its end is noted. */
-  void stop(TaskId task) {
-    stopsWanted.add(task);
-  }
-
-  /** Returns whether a run is to be stopped. */
-  boolean isStopping(TaskId task) {
-    return stopsWanted.contains(task);
-  }
-
-  private void sendStops(ImmutableList<Task> bound, Instant now) {
-    for (Task task : bound) {
-      boolean wanted = task.job().phase().isTerminal() || stopsWanted.contains(task.id());
-      Instant sentAt = stopsSentAt.get(task.id());
-      boolean due = sentAt == null || now.isAfter(sentAt.plus(context.timings().stopRetry()));
-      if (wanted && due && confirmedToken >= context.firstFencingToken()) {
-        stopsSentAt.put(task.id(), now);
-        sendStop(task.id(), task.run());
+        orders.sendStop(id.get(), run.run());
       }
     }
   }
 
-  private void sendStop(TaskId task, int run) {
-    long token = fencingToken;
-    Worker stopped = worker;
-    context.whenDone(
-        context.calls().stop(worker, new StopOrder(task, run, token)),
-        (reading, failure) -> {
-          if (failure != null) {
-            logRefusal(task, run, "stop: " + failure);
-          } else if (stopped.isSameLife(worker)) {
-            onStopped(task, run);
-          }
-        });
-  }
-
-  /** A run that was stopped before it came never comes, so a later listing without it is final. */
-  private void onStopped(TaskId task, int run) {
-    RunAttempt attempt = attempts.get(task);
-    if (attempt != null && attempt.run() == run) {
-      attempt.onConfirmed(context.now());
-    }
-  }
-
   /** Releases all runs of a worker that ended. */
   void releaseAll(ImmutableList<Task> bound, String reason) {
     if (bound.isEmpty()) {
@@ -448,7 +317,7 @@
     for (Task task : bound) {
       ends.add(new RunEnd(task.id().text(), task.run(), RunEnding.LAPSED, checkpointOf(task)));
     }
-    context.ends().record(ends, () -> ends.forEach(this::forgetAttempt));
+    context.ends().record(ends, () -> ends.forEach(orders::forget));
   }
 
   private String checkpointOf(Task task) {
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -205,12 +205,14 @@
   public CompletableFuture<Object> onWorkerReport(
       Worker worker, long sequence, Optional<Long> clockMilliseconds) {
     return leading(
-        leadership -> leadership.onReport(worker, sequence, clockMilliseconds).thenApply(x -> ""));
+        leadership ->
+            leadership.roster().onReport(worker, sequence, clockMilliseconds).thenApply(x -> ""));
   }
 
   /** Takes a worker's word that it ends; done once it is committed. */
   public CompletableFuture<Object> onWorkerLeave(String id, Optional<Long> bornAtMilliseconds) {
-    return leading(leadership -> leadership.onLeave(id, bornAtMilliseconds).thenApply(x -> ""));
+    return leading(
+        leadership -> leadership.roster().onLeave(id, bornAtMilliseconds).thenApply(x -> ""));
   }
 
   /** Runs an action on the state thread once a quorum confirmed that this process leads. */
