Take hosts into the pools of an accepted configuration at once

It was refused as of an unknown pool, and each resend of the same command got the first reply again, as it must. Change: the state of pools falls back to the accepted configuration, which is part of the same replicated state, for a pool that the leader has not defined yet. Test: PoolStateTest takesHostsIntoAPoolOfTheAcceptedConfiguration...; without the fallback in PoolState.settingsOf it fails (UNKNOWN_POOL).

--- a/core/src/main/java/org/verbenawheel/pool/PoolState.java
+++ b/core/src/main/java/org/verbenawheel/pool/PoolState.java
@@ -8,7 +8,9 @@
 import com.google.common.collect.Maps;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
+import org.verbenawheel.configuration.Configuration;
 import org.verbenawheel.configuration.PoolSettings;
 import org.verbenawheel.identity.HostName;
 import org.verbenawheel.identity.PoolName;
@@ -37,8 +39,24 @@
 
   private final TreeMap<PoolName, DefinePool> pools = new TreeMap<>();
   private final TreeMap<HostName, HostRecord> hosts = new TreeMap<>();
+  private final Supplier<Configuration> accepted;
   private @Nullable PoolView view;
 
+  /** Makes a state without pools, for use where every pool is defined by a command. */
+  public PoolState() {
+    this(() -> Configuration.EMPTY);
+  }
+
+  /**
+   * Makes a state without pools.
+   *
+   * @param accepted gives the configuration that stands in the replicated state. The pools that it
+   *     names take hosts from its acceptance on, though the leader defines them a moment later
+   */
+  public PoolState(Supplier<Configuration> accepted) {
+    this.accepted = accepted;
+  }
+
   @Override
   public String name() {
     return "pools";
@@ -200,8 +218,14 @@
   }
 
   private Optional<Integer> freePlaces(PoolName pool) {
-    return Optional.ofNullable(pools.get(pool))
-        .map(definition -> definition.settings().maximumHosts() - placesTaken(pool));
+    return settingsOf(pool).map(settings -> settings.maximumHosts() - placesTaken(pool));
+  }
+
+  private Optional<PoolSettings> settingsOf(PoolName pool) {
+    DefinePool defined = pools.get(pool);
+    return defined != null
+        ? Optional.of(defined.settings())
+        : Optional.ofNullable(accepted.get().pools().get(pool));
   }
 
   private int placesTaken(PoolName pool) {
--- a/core/src/test/java/org/verbenawheel/pool/PoolStateTest.java
+++ b/core/src/test/java/org/verbenawheel/pool/PoolStateTest.java
@@ -8,11 +8,15 @@
 import static org.verbenawheel.pool.Fleet.pool;
 import static org.verbenawheel.pool.Fleet.registerHost;
 
+import com.google.common.collect.ImmutableMap;
 import java.util.Objects;
 import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.verbenawheel.codec.MessageCodec;
+import org.verbenawheel.configuration.Configuration;
+import org.verbenawheel.configuration.PoolRole;
+import org.verbenawheel.configuration.PoolSettings;
 import org.verbenawheel.identity.HostName;
 import org.verbenawheel.identity.PoolName;
 import org.verbenawheel.pool.PoolCommand.AdvanceActivity;
@@ -57,6 +61,21 @@
     assertThat(record(host(0)).activity()).isEmpty();
   }
 
+  @Test
+  void takesHostsIntoAPoolOfTheAcceptedConfigurationBeforeTheLeaderDefinesIt() {
+    PoolSettings settings = new PoolSettings(pool(5), PoolRole.SERVING, 0, 1);
+    PoolState configured =
+        new PoolState(
+            () -> new Configuration("", ImmutableMap.of(), ImmutableMap.of(pool(5), settings)));
+    FakeCommandLog commands = new FakeCommandLog(new MessageCodec(PoolCommands.KINDS), configured);
+
+    assertThat(commands.commit(registerHost(host(0), pool(5)))).isInstanceOf(HostChanged.class);
+    assertThat(refused(commands.commit(registerHost(host(1), pool(5)))).reason())
+        .isEqualTo(PoolRefusalReason.POOL_FULL);
+    assertThat(refused(commands.commit(registerHost(host(1), pool(6)))).reason())
+        .isEqualTo(PoolRefusalReason.UNKNOWN_POOL);
+  }
+
   @Test
   void oneOfTwoRacingOperatorsWinsAndTheOtherIsToldTheVersion() {
     long seen = version(host(0));
--- a/daemon/src/main/java/org/verbenawheel/control/ControlProcess.java
+++ b/daemon/src/main/java/org/verbenawheel/control/ControlProcess.java
@@ -49,7 +49,8 @@
   private final InstantSource clock;
   private final MetricRegistry metrics = new MetricRegistry();
   private final ConfigurationState configuration = new ConfigurationState();
-  private final PoolState pools = new PoolState();
+  private final PoolState pools =
+      new PoolState(() -> configuration.history().current().configuration());
   private final MaintenanceState maintenance = new MaintenanceState();
   private final FleetControllers controllers;
   private final PeerNode peers;
