Order late jobs by their last useful moment, and judge timed jobs from their due time

Late jobs all earn the same until their last useful moment, so least work first only starves some. Seen on the way: the standing of a timed job was taken from its acceptance, so that each of its occurrences began as too late to earn anything. Change: late jobs go by their last useful moment; of those given up the latest goes first; a timed job is judged from the due time of its first unfinished occurrence. Tests: three in JobSchedulerTest, each seen failing with the old JobOrder.

--- a/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
@@ -49,7 +49,7 @@
     Round round = new Round(timeOfDayMilliseconds);
     jobs.stream()
         .filter(JobScheduler::hasWaitingTask)
-        .map(job -> JobOrder.of(job, now))
+        .map(job -> JobOrder.of(job, now, timeOfDayMilliseconds))
         .sorted(JobOrder.MOST_URGENT_FIRST)
         .forEach(
             order -> {
--- a/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerTest.java
+++ b/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerTest.java
@@ -163,6 +163,43 @@
     assertThat(decide()).containsExactly(new RunStart("a.1.0.0", 1, "w"));
   }
 
+  @Test
+  void lateJobWhoseLastUsefulMomentIsNearerGoesFirst() {
+    worker("w", 1_000, "r1");
+    submit("older", 1_000, step(2_000));
+    now = START.plusMillis(500);
+    submit("newer", 1_000, step(1_500));
+
+    assertThat(decide()).containsExactly(new RunStart("older.0.0.0", 1, "w"));
+  }
+
+  @Test
+  void jobThatWasGivenUpLastGoesBeforeThoseGivenUpLongAgo() {
+    worker("w", 1_000, "r1");
+    submit("older", 1_000, step(100));
+    now = START.plusSeconds(5);
+    submit("newer", 1_000, step(200));
+    now = START.plusSeconds(20);
+
+    assertThat(decide()).containsExactly(new RunStart("newer.0.0.0", 1, "w"));
+  }
+
+  @Test
+  void occurrenceThatHasJustBecomeDueIsOnTimeHoweverOldItsJobIs() {
+    worker("w", 1_000, "r1");
+    JobSpecification timed =
+        new JobSpecification(
+            "x", ImmutableList.of(step(500)), 1, START.plusSeconds(60).toEpochMilli(), 0);
+    ledger.apply(
+        new AcceptJob("timed", "q", timed, new Limits("p", 0, 3, 1_000)),
+        new ApplyContext(++index, now));
+    now = START.plusSeconds(59);
+    submit("late", 300, step(400));
+    now = START.plusSeconds(60);
+
+    assertThat(decide()).containsExactly(new RunStart("timed.0.0.0", 1, "w"));
+  }
+
   @Test
   void tasksThatFillKeepAwayFromThoseThatServe() {
     worker("w", 9_000, "r1");
