Size the pools: lend early and from all pools, park hosts that a pool can spare

Only the 6 spare hosts moved; lent ones were forgotten by a change of leader and stayed on for good. Change: PoolSizing (pure) decides each round. A pool gets hosts as soon as its demand exceeds what it has; the demand (PoolDemand) is what is bound and waits, or the work of the last four arrivals over the time they took to arrive, which shows a surge about a task's length earlier. Hosts that are idle and that the pool can spare are parked, those of a pending wave too. An order that the platform calls impossible is not repeated; a host to which a task is on its way is not moved. Parking deeper costs more at the next onset and after a change of leader, when no host may be ordered for 3.5 s.

--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -33,6 +33,7 @@
 import org.verbenawheel.scheduling.WorkerRoom;
 import org.verbenawheel.wave.UpkeepPhase;
 import org.verbenawheel.wave.WaveLedger;
+import org.verbenawheel.worker.Worker;
 import org.verbenawheel.worker.WorkerRegistry;
 
 /**
@@ -57,6 +58,7 @@
   private final WaveLedger waveLedger;
   private final HostMover mover;
   private ImmutableMap<String, Long> shortages = ImmutableMap.of();
+  private ImmutableSet<String> workersBeingBound = ImmutableSet.of();
   private boolean bindingUnderWay;
   private boolean roundWanted;
   private boolean ended;
@@ -90,7 +92,8 @@
             builder.hostCalls,
             authority,
             builder.waveTimings,
-            evacuations);
+            evacuations,
+            this::isMoving);
     this.mover =
         new HostMover(
             context,
@@ -99,6 +102,7 @@
             builder.hostCalls,
             authority,
             builder.moveTimings,
+            new PoolDemand(this::poolOf),
             this::onWorkerEnded);
     logger.atInfo().log(
         "%s",
@@ -165,7 +169,9 @@
     releaseOrphans();
     waves.onTick(now);
     schedule();
-    mover.onTick(now, shortages, hostsInMaintenance());
+    mover.onTick(
+        now,
+        new HostMover.Moment(shortages, hostsInMaintenance(), worker -> isUsable(worker, now)));
   }
 
   private ImmutableSet<String> hostsInMaintenance() {
@@ -222,6 +228,7 @@
       return;
     }
     bindingUnderWay = true;
+    workersBeingBound = starts.stream().map(RunStart::worker).collect(toImmutableSet());
     for (RunStart start : starts) {
       TaskId.parse(start.task())
           .ifPresent(task -> requireSession(start.worker()).orders().onBinding(task, start.run()));
@@ -239,7 +246,8 @@
     List<WorkerRoom> rooms = new ArrayList<>();
     for (WorkerSession session : sessions.values()) {
       boolean stays =
-          !evacuations.isCordoned(session.worker().id()) && !mover.isMoving(session.worker());
+          !evacuations.isCordoned(session.worker().id())
+              && !mover.isMoving(session.worker().host());
       if (session.takesTasks(now) && stays) {
         WorkerRoom room =
             new WorkerRoom(
@@ -255,6 +263,7 @@
 
   private void onBound(ImmutableList<RunStart> starts, boolean committed) {
     bindingUnderWay = false;
+    workersBeingBound = ImmutableSet.of();
     if (ended) {
       return;
     }
@@ -293,6 +302,19 @@
     session.orders().start(task.get(), Optional.empty());
   }
 
+  private boolean isMoving(String host) {
+    return mover.isMoving(host);
+  }
+
+  /** Returns whether a worker takes tasks and none is on its way to it. */
+  private boolean isUsable(Worker worker, Instant now) {
+    WorkerSession session = sessions.get(worker.id());
+    return session != null
+        && session.takesTasks(now)
+        && !evacuations.isCordoned(worker.id())
+        && !workersBeingBound.contains(worker.id());
+  }
+
   private boolean isIdlePool(String pool) {
     return configuration.current().filter(present -> present.isStandby(pool)).isPresent();
   }
--- a/core/src/main/java/org/verbenawheel/execution/HostMover.java
+++ b/core/src/main/java/org/verbenawheel/execution/HostMover.java
@@ -1,11 +1,9 @@
 package org.verbenawheel.execution;
 
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
 import com.google.common.flogger.FluentLogger;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -13,17 +11,21 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.verbenawheel.event.Event;
 import org.verbenawheel.event.EventLine;
 import org.verbenawheel.execution.HostCalls.Host;
 import org.verbenawheel.execution.HostCalls.HostState;
 import org.verbenawheel.execution.HostCalls.OrderOutcome;
+import org.verbenawheel.execution.PoolSizing.Member;
+import org.verbenawheel.execution.PoolSizing.Situation;
+import org.verbenawheel.execution.PoolSizing.Transfer;
+import org.verbenawheel.job.Task;
 import org.verbenawheel.queue.FleetConfigurationState;
 import org.verbenawheel.worker.Worker;
 
 /**
- * Lends the hosts of standby pools, which are off, to pools whose tasks wait, and gives them back
- * when they have nothing to do. Belongs to the state thread.
+ * Moves hosts between pools as {@link PoolSizing} decides. Belongs to the state thread.
  *
  * <p>Only hosts without tasks are moved, and tasks that last keep away from lent ones, so no work
  * is lost. A new leader waits out the lease of the one before, whose last order it cannot know.
@@ -38,12 +40,13 @@
   private final HostCalls.Authority authority;
   private final MoveTimings timings;
   private final Consumer<String> workerEnded;
+  private final PoolDemand poolDemand;
+  private final PoolSizing sizing;
   private final Map<String, Host> spares = new HashMap<>();
   private final Map<String, Move> moving = new HashMap<>();
   private final Map<String, Instant> idleSince = new HashMap<>();
-  private final Map<String, Instant> shortSince = new HashMap<>();
   private final Set<String> lent = new HashSet<>();
-  private Set<String> reserved = ImmutableSet.of();
+  private final Set<Transfer> impossible = new HashSet<>();
   private boolean listing;
   private Optional<Instant> listedAt = Optional.empty();
 
@@ -54,6 +57,7 @@
       HostCalls calls,
       HostCalls.Authority authority,
       MoveTimings timings,
+      PoolDemand poolDemand,
       Consumer<String> workerEnded) {
     this.workerEnded = workerEnded;
     this.context = context;
@@ -62,39 +66,54 @@
     this.calls = calls;
     this.authority = authority;
     this.timings = timings;
+    this.poolDemand = poolDemand;
+    this.sizing = new PoolSizing(timings.idleBeforeReturn());
   }
 
-  /** Returns whether a worker's host was lent by a standby pool. */
+  /** Returns whether a worker's host was lent to its pool. */
   boolean isBorrowed(Worker worker) {
     return lent.contains(worker.host());
   }
 
-  /** Returns whether a worker gets no tasks because its host moves. */
-  boolean isMoving(Worker worker) {
-    return moving.containsKey(worker.host());
+  /** Returns whether a host is on its way to another pool. */
+  boolean isMoving(String host) {
+    return moving.containsKey(host);
   }
 
   /**
-   * Decides which hosts move now.
+   * What the fleet does at one moment, as far as it matters to moves.
    *
-   * @param shortages what the last round of scheduling could not place, by pool
+   * @param shortages what the last round of scheduling could not place, in thousandths of a core,
+   *     by pool
    * @param inMaintenance hosts that maintenance waves work on or will
+   * @param usable workers that take tasks, are not about to be emptied and have no task on its way
+   *     to them
    */
-  void onTick(Instant now, ImmutableMap<String, Long> shortages, Set<String> inMaintenance) {
+  record Moment(
+      ImmutableMap<String, Long> shortages, Set<String> inMaintenance, Predicate<Worker> usable) {}
+
+  /** Decides which hosts move now, and orders it. */
+  void onTick(Instant now, Moment moment) {
     Optional<String> standby = standbyPool();
     if (standby.isEmpty()) {
       return;
     }
-    reserved = inMaintenance;
     endMoves(now);
     listIfDue(now, standby.get());
     if (listedAt.isEmpty() || now.isBefore(context.since().plus(timings.orderLease()))) {
       return;
     }
-    noteIdleHosts(now);
-    noteShortages(now, shortages);
-    lendHosts(now, shortages);
-    giveBack(now, standby.get());
+    noteIdleHosts(now, moment);
+    Map<String, Long> used = new HashMap<>();
+    List<Member> members = members(moment, standby.get(), used);
+    ImmutableMap<String, Long> demand =
+        poolDemand.estimate(context.ledger().active(), used, moment.shortages(), now);
+    sizing
+        .decide(
+            new Situation(
+                members, lendable(moment), arriving(), demand, used, standby.get(), impossible),
+            now)
+        .forEach(transfer -> move(transfer, now));
   }
 
   private Optional<String> standbyPool() {
@@ -154,13 +173,12 @@
             });
   }
 
-  private void noteIdleHosts(Instant now) {
+  private void noteIdleHosts(Instant now, Moment moment) {
     Set<String> idle = new HashSet<>();
     for (WorkerSession session : sessions.values()) {
       Worker worker = session.worker();
-      if (isBorrowed(worker)
-          && !reserved.contains(worker.host())
-          && context.ledger().boundTo(worker.id()).isEmpty()) {
+      boolean movable = !worker.host().isEmpty() && moment.usable().test(worker);
+      if (movable && context.ledger().boundTo(worker.id()).isEmpty()) {
         idle.add(worker.host());
         idleSince.putIfAbsent(worker.host(), now);
       }
@@ -168,106 +186,84 @@
     idleSince.keySet().retainAll(idle);
   }
 
-  private void noteShortages(Instant now, ImmutableMap<String, Long> shortages) {
-    shortages.forEach(
-        (pool, millicores) -> {
-          if (millicores > 0) {
-            shortSince.putIfAbsent(pool, now);
-          } else {
-            shortSince.remove(pool);
-          }
-        });
-    shortSince.keySet().retainAll(shortages.keySet());
-  }
-
-  private void lendHosts(Instant now, ImmutableMap<String, Long> shortages) {
-    List<String> pools = new ArrayList<>(shortSince.keySet());
-    pools.sort(Comparator.comparing(pool -> -shortages.getOrDefault(pool, 0L)));
-    for (String pool : pools) {
-      Instant since = shortSince.getOrDefault(pool, now);
-      if (now.isBefore(since.plus(timings.shortageBeforeMove()))) {
-        continue;
+  private List<Member> members(Moment moment, String standby, Map<String, Long> used) {
+    List<Member> members = new ArrayList<>();
+    for (WorkerSession session : sessions.values()) {
+      Worker worker = session.worker();
+      for (Task task : context.ledger().boundTo(worker.id())) {
+        used.merge(worker.pool(), (long) task.step().reservedMillicores(), Long::sum);
       }
-      long wanted =
-          (shortages.getOrDefault(pool, 0L) + typicalMillicores() - 1) / typicalMillicores();
-      long coming = moving.values().stream().filter(move -> move.pool().equals(pool)).count();
-      for (long number = coming; number < wanted; number++) {
-        Optional<String> host = hostFor(pool);
-        if (host.isEmpty()) {
-          break;
-        }
-        move(host.get(), pool, now, "tasks of the pool wait");
+      boolean counts = session.takesTasks(context.now()) && !isMoving(worker.host());
+      if (counts && !worker.pool().equals(standby)) {
+        Set<String> kinds = new HashSet<>(worker.labels());
+        kinds.remove(worker.rack());
+        members.add(
+            new Member(
+                worker.host(),
+                worker.pool(),
+                worker.capacity().cpuMillicores(),
+                kinds,
+                Optional.ofNullable(idleSince.get(worker.host())),
+                isBorrowed(worker),
+                moment.inMaintenance().contains(worker.host())));
       }
     }
+    return members;
   }
 
-  private long typicalMillicores() {
-    return Math.max(
-        1,
+  private List<String> lendable(Moment moment) {
+    return spares.keySet().stream()
+        .filter(host -> !isMoving(host) && !moment.inMaintenance().contains(host))
+        .sorted()
+        .toList();
+  }
+
+  private Map<String, Long> arriving() {
+    long typical =
         sessions.values().stream()
             .mapToLong(session -> session.worker().capacity().cpuMillicores())
             .max()
-            .orElse(1));
-  }
-
-  /** Returns a spare host, or else a lent one that is idle in a pool where nothing waits. */
-  private Optional<String> hostFor(String pool) {
-    Optional<String> spare =
-        spares.keySet().stream()
-            .filter(host -> !moving.containsKey(host) && !reserved.contains(host))
-            .findFirst();
-    return spare.isPresent()
-        ? spare
-        : idleSince.keySet().stream()
-            .filter(host -> !moving.containsKey(host))
-            .filter(host -> poolOf(host).filter(own -> isShort(own) || own.equals(pool)).isEmpty())
-            .findFirst();
-  }
-
-  private boolean isShort(String pool) {
-    return shortSince.containsKey(pool);
+            .orElse(1);
+    Map<String, Long> arriving = new HashMap<>();
+    moving.values().forEach(move -> arriving.merge(move.pool(), typical, Long::sum));
+    return arriving;
   }
 
-  private Optional<String> poolOf(String host) {
-    return sessions.values().stream()
-        .map(WorkerSession::worker)
-        .filter(worker -> worker.host().equals(host))
-        .map(Worker::pool)
-        .findFirst();
-  }
-
-  private void giveBack(Instant now, String standby) {
-    for (Map.Entry<String, Instant> idle : Map.copyOf(idleSince).entrySet()) {
-      boolean longIdle = now.isAfter(idle.getValue().plus(timings.idleBeforeReturn()));
-      if (longIdle && !moving.containsKey(idle.getKey())) {
-        move(idle.getKey(), standby, now, "nothing to do");
-      }
-    }
-  }
-
-  private void move(String host, String pool, Instant now, String reason) {
-    moving.put(host, new Move(pool, now, false));
+  private void move(Transfer transfer, Instant now) {
+    String host = transfer.host();
+    moving.put(host, new Move(transfer.pool(), now, false));
     context.whenDone(
-        calls.move(host, pool, authority),
+        calls.move(host, transfer.pool(), authority),
         (outcome, failure) -> {
           logger.atInfo().log(
               "%s",
               EventLine.of(Event.HOST_ACTIVITY_PHASE)
                   .with("host", host)
-                  .with("to_pool", pool)
-                  .with("reason", reason)
+                  .with("to_pool", transfer.pool())
+                  .with("reason", transfer.reason())
                   .with("fencing_token", authority.fencingToken())
                   .with("outcome", outcome == null ? String.valueOf(failure) : outcome));
-          if (outcome == OrderOutcome.DONE) {
-            moving.computeIfPresent(host, (name, move) -> new Move(pool, move.at(), true));
-            onMoved(host, pool);
-          } else if (outcome != null) {
-            moving.remove(host);
-            listedAt = Optional.empty();
+          if (outcome != null) {
+            onOutcome(transfer, outcome);
           }
         });
   }
 
+  private void onOutcome(Transfer transfer, OrderOutcome outcome) {
+    if (outcome == OrderOutcome.DONE) {
+      moving.computeIfPresent(
+          transfer.host(), (host, move) -> new Move(move.pool(), move.at(), true));
+      onMoved(transfer.host(), transfer.pool());
+      return;
+    }
+    if (outcome == OrderOutcome.IMPOSSIBLE) {
+      impossible.add(transfer);
+    }
+    moving.remove(transfer.host());
+    idleSince.remove(transfer.host());
+    spares.remove(transfer.host());
+  }
+
   private void onMoved(String host, String pool) {
     sessions.values().stream()
         .map(WorkerSession::worker)
@@ -275,10 +271,10 @@
         .map(Worker::id)
         .toList()
         .forEach(workerEnded);
-    boolean returned = configuration.current().filter(now -> now.isStandby(pool)).isPresent();
+    boolean parked = configuration.current().filter(now -> now.isStandby(pool)).isPresent();
     spares.remove(host);
     idleSince.remove(host);
-    if (returned) {
+    if (parked) {
       lent.remove(host);
       spares.put(host, new Host(host, pool, HostState.UP, Optional.empty()));
     } else {
--- a/core/src/main/java/org/verbenawheel/execution/WaveController.java
+++ b/core/src/main/java/org/verbenawheel/execution/WaveController.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.verbenawheel.event.Event;
 import org.verbenawheel.event.EventLine;
 import org.verbenawheel.execution.HostCalls.Host;
@@ -37,6 +38,7 @@
   private final HostCalls.Authority authority;
   private final WaveTimings timings;
   private final Evacuations evacuations;
+  private final Predicate<String> moving;
   private final Map<String, Host> hosts = new LinkedHashMap<>();
   private final Map<String, Instant> begunAt = new HashMap<>();
   private final Map<String, Instant> nextOrderAt = new HashMap<>();
@@ -51,7 +53,9 @@
       HostCalls calls,
       HostCalls.Authority authority,
       WaveTimings timings,
-      Evacuations evacuations) {
+      Evacuations evacuations,
+      Predicate<String> moving) {
+    this.moving = moving;
     this.context = context;
     this.ledger = ledger;
     this.sink = sink;
@@ -124,6 +128,7 @@
             wanted.add(name);
             orderIfEmpty(wave, host.get(), now);
           } else if (host.get().state() == HostState.UP
+              && !moving.test(name)
               && busy < wave.maximumDown()
               && busyInPool.getOrDefault(host.get().pool(), 0) < poolLimit(wave, host.get(), now)) {
             busy++;
--- a/core/src/main/java/org/verbenawheel/scheduling/WorkerRoom.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/WorkerRoom.java
@@ -19,6 +19,7 @@
   private int freeAccelerators;
   private int servingTasks;
   private int fillingTasks;
+  private int lastingTasks;
 
   /**
    * Makes the room of a worker on which nothing runs.
@@ -44,6 +45,7 @@
     copy.freeAccelerators = freeAccelerators;
     copy.servingTasks = servingTasks;
     copy.fillingTasks = fillingTasks;
+    copy.lastingTasks = lastingTasks;
     return copy;
   }
 
@@ -70,6 +72,9 @@
     if (step.fillsLeftover()) {
       fillingTasks++;
     }
+    if (step.longRunning()) {
+      lastingTasks++;
+    }
   }
 
   /** Returns whether the worker may run one more task of a step. */
@@ -89,7 +94,8 @@
 
   /**
    * Returns how well the worker suits a task: higher is better. Tasks that fill keep away from
-   * tasks that serve, then from full workers.
+   * tasks that serve; tasks that last are spread, and short ones packed beside them, so that the
+   * other hosts become idle and can be parked.
    */
   long preferenceFor(Task task) {
     StepSpecification step = task.step();
@@ -101,12 +107,14 @@
     }
     boolean near = step.preferredRack().isEmpty() || step.preferredRack().equals(worker.rack());
     boolean stays = !borrowed || !step.longRunning();
+    boolean packed = !step.longRunning() && lastingTasks > 0;
     boolean untried = !failedHere.contains(task.id());
     return (untried ? 1L << 52 : 0)
         + (near ? 1L << 50 : 0)
         + (stays ? 1L << 48 : 0)
         - (disturbed << 40)
-        + freeMillicores;
+        + (packed ? 1L << 38 : 0)
+        + (step.longRunning() ? freeMillicores : -freeMillicores);
   }
 
   /** Names a step of one occurrence of a job. */
--- a/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerTest.java
+++ b/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerTest.java
@@ -37,14 +37,34 @@
   private long index;
 
   @Test
-  void tasksGoToTheWorkerWithTheMostRoom() {
+  void tasksThatLastGoToTheWorkerWithTheMostRoom() {
     worker("small", 1_000, "r1");
     worker("large", 4_000, "r1");
-    submit("a", 1_000, StepSpecification.builder().uses(1_000, 1, 0).build());
+    submit("a", 1_000, StepSpecification.builder().uses(1_000, 1, 0).longRunning(true).build());
 
     assertThat(decide()).containsExactly(new RunStart("a.0.0.0", 1, "large"));
   }
 
+  @Test
+  void shortTasksArePackedSoThatOtherWorkersBecomeIdle() {
+    worker("large", 4_000, "r1");
+    worker("small", 1_000, "r1");
+    submit("a", 1_000, StepSpecification.builder().uses(1_000, 1, 0).build());
+
+    assertThat(decide()).containsExactly(new RunStart("a.0.0.0", 1, "small"));
+  }
+
+  @Test
+  void shortTasksArePackedBesideThoseThatLast() {
+    worker("large", 9_000, "r1");
+    worker("small", 4_000, "r1");
+    submit("a", 1_000, StepSpecification.builder().uses(1_000, 1, 0).longRunning(true).build());
+    decide();
+    submit("b", 1_000, StepSpecification.builder().uses(1_000, 1, 0).build());
+
+    assertThat(decide()).containsExactly(new RunStart("b.0.0.0", 1, "large"));
+  }
+
   @Test
   void fullWorkersGetNothing() {
     worker("w", 2_000, "r1");
@@ -204,7 +224,10 @@
   void tasksThatFillKeepAwayFromThoseThatServe() {
     worker("w", 9_000, "r1");
     worker("v", 4_000, "r1");
-    submit("serving", 1_000, StepSpecification.builder().uses(2_000, 1, 0).serves("i", 50).build());
+    submit(
+        "serving",
+        1_000,
+        StepSpecification.builder().uses(2_000, 1, 0).serves("i", 50).longRunning(true).build());
     decide();
     submit(
         "filling",
