Ask the placement adviser before starting tasks of queues whose policy restricts workers

Change: AdviceRequests asks, one question at a time, about the steps that wait, those that no worker may run yet first; TicketBook remembers the answers by step and life of a worker until the tickets expire; the scheduler places tasks on approved workers only (also of gangs); an order carries the ticket; a refused one is forgotten and asked for again. AdviceHttp translates. A refused ticket no longer makes the leader back off from the worker.

--- a/core/src/main/java/org/verbenawheel/event/Event.java
+++ b/core/src/main/java/org/verbenawheel/event/Event.java
@@ -105,6 +105,8 @@
   WORKER_REACHED,
   /** A worker gets no tasks for a while because too many fail there. */
   WORKER_QUARANTINED,
+  /** The placement adviser told which workers may run a step, or gave no answer. */
+  PLACEMENT_ADVISED,
   /** This process began or ceased to command the workers. */
   FLEET_COMMAND,
   /** The settings were read again. */
--- a/core/src/main/java/org/verbenawheel/execution/FleetContext.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetContext.java
@@ -19,6 +19,7 @@
  * @param stateThread the thread that owns the state and everything in this package
  * @param ends collects the ends of runs until they are committed
  * @param trust tells which workers fail what others can do
+ * @param tickets what the placement adviser said
  * @param firstFencingToken the lowest fencing token of this leadership
  * @param since when this leadership began
  */
@@ -30,6 +31,7 @@
     Executor stateThread,
     EndRecorder ends,
     WorkerTrust trust,
+    TicketBook tickets,
     long firstFencingToken,
     Instant since) {
 
--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -26,6 +26,7 @@
 import org.verbenawheel.job.RunEnding;
 import org.verbenawheel.job.Task;
 import org.verbenawheel.job.TaskId;
+import org.verbenawheel.queue.AdvicePolicy;
 import org.verbenawheel.queue.FleetConfigurationState;
 import org.verbenawheel.queue.QueueRoute;
 import org.verbenawheel.scheduling.Decision;
@@ -51,6 +52,7 @@
   private final CommandSink sink;
   private final LongSupplier timeOfDayMilliseconds;
   private final JobScheduler scheduler;
+  private final AdviceRequests advice;
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
   private final WorkerRoster roster;
   private final Evacuations evacuations;
@@ -76,11 +78,14 @@
             builder.stateThread,
             new EndRecorder(builder.sink, builder.stateThread, this::schedule),
             new WorkerTrust(),
+            new TicketBook(),
             term * FENCING_TOKENS_PER_TERM,
             builder.clock.instant());
     this.roster =
         new WorkerRoster(context, builder.registry, builder.sink, sessions, this::schedule);
-    this.scheduler = new JobScheduler(this::poolOf);
+    this.advice =
+        new AdviceRequests(context, builder.adviser, this::advicePolicyOf, this::schedule);
+    this.scheduler = new JobScheduler(this::poolOf, advice::permits);
     this.evacuations = new Evacuations(context, sessions, this::isIdlePool, this::onWorkerEnded);
     HostCalls.Authority authority = new HostCalls.Authority(builder.process, term);
     this.waveLedger = builder.waves;
@@ -122,6 +127,7 @@
    * @param sink commits the leader's commands
    * @param calls sends orders to workers
    * @param hostCalls sends orders about hosts to the platform
+   * @param adviser tells which workers may run a step
    * @param waves the maintenance waves
    * @param process this process
    * @param timings how orders are timed
@@ -138,6 +144,7 @@
       CommandSink sink,
       WorkerCalls calls,
       HostCalls hostCalls,
+      PlacementAdviser adviser,
       WaveLedger waves,
       String process,
       ExecutionTimings timings,
@@ -169,6 +176,7 @@
     releaseOrphans();
     waves.onTick(now);
     schedule();
+    advice.askNext(job -> usableWorkers(poolOf(job), now));
     mover.onTick(
         now,
         new HostMover.Moment(shortages, hostsInMaintenance(), worker -> isUsable(worker, now)));
@@ -299,7 +307,7 @@
             .with("task", start.task())
             .with("run", start.run())
             .with("worker", start.worker()));
-    session.orders().start(task.get(), Optional.empty());
+    session.orders().start(task.get(), advice.ticket(task.get(), session.worker()));
   }
 
   private boolean isMoving(String host) {
@@ -323,6 +331,20 @@
     roster.dismiss(id, "its host went down or moved as ordered");
   }
 
+  private List<Worker> usableWorkers(String pool, Instant now) {
+    return sessions.values().stream()
+        .map(WorkerSession::worker)
+        .filter(worker -> worker.pool().equals(pool) && isUsable(worker, now))
+        .toList();
+  }
+
+  private Optional<AdvicePolicy> advicePolicyOf(Job job) {
+    return configuration
+        .current()
+        .flatMap(present -> present.queueAt(job.queue()))
+        .flatMap(QueueRoute::advice);
+  }
+
   /** Returns the pool that runs a job's queue now; the one at its acceptance if the queue left. */
   private String poolOf(Job job) {
     return configuration
--- a/core/src/main/java/org/verbenawheel/execution/RunOrders.java
+++ b/core/src/main/java/org/verbenawheel/execution/RunOrders.java
@@ -90,7 +90,11 @@
       attempt.onConfirmed(now);
       return;
     }
-    session.backOff();
+    if (answer.outcome() == StartOutcome.NO_TICKET) {
+      context.tickets().forget(task.stepText(), session.worker().id());
+    } else {
+      session.backOff();
+    }
     onStartRefused(task, attempt.run(), answer.outcome().name());
   }
 
--- a/core/src/main/java/org/verbenawheel/job/TaskId.java
+++ b/core/src/main/java/org/verbenawheel/job/TaskId.java
@@ -21,6 +21,11 @@
     return job + '.' + occurrence + '.' + step + '.' + index;
   }
 
+  /** Returns the name of the task's step as text, such as {@code 5c0e7a21d94b36f8.0.1}. */
+  public String stepText() {
+    return job + '.' + occurrence + '.' + step;
+  }
+
   /**
    * Returns the task that a text names; empty if it names none.
    *
--- a/core/src/main/java/org/verbenawheel/queue/QueueRoute.java
+++ b/core/src/main/java/org/verbenawheel/queue/QueueRoute.java
@@ -1,5 +1,7 @@
 package org.verbenawheel.queue;
 
+import java.util.Optional;
+
 /**
  * A queue of jobs, and the pool whose workers run them.
  *
@@ -12,7 +14,8 @@
  * @param maximumAttempts after so many failures of one task its job has failed
  * @param stretch the objective's factor on the job's longest chain of work
  * @param targetLatencyMilliseconds what the objective adds to the stretched chain
- * @param needsAdvice whether the placement adviser must approve the workers of each step
+ * @param advice how the placement adviser answers, which must approve the workers of each step;
+ *     empty if any worker of the pool may run them
  */
 public record QueueRoute(
     String name,
@@ -24,7 +27,7 @@
     int maximumAttempts,
     double stretch,
     int targetLatencyMilliseconds,
-    boolean needsAdvice) {
+    Optional<AdvicePolicy> advice) {
 
   /** Returns what callers address; no two queues of one configuration share it. */
   public String place() {
--- a/core/src/main/java/org/verbenawheel/scheduling/JobOrder.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/JobOrder.java
@@ -81,8 +81,7 @@
       return job.acceptedAt();
     }
     long due =
-        specification.firstStartMilliseconds()
-            + occurrence * specification.intervalMilliseconds();
+        specification.firstStartMilliseconds() + occurrence * specification.intervalMilliseconds();
     return now.plusMillis(due - timeOfDayMilliseconds);
   }
 
--- a/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
@@ -11,24 +11,29 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiPredicate;
 import java.util.function.Function;
 import org.verbenawheel.job.Job;
 import org.verbenawheel.job.JobCommands.RunStart;
 import org.verbenawheel.job.JobSpecification;
 import org.verbenawheel.job.StepSpecification;
 import org.verbenawheel.job.Task;
+import org.verbenawheel.worker.Worker;
 
 /** Decides which waiting tasks start now, and where. Makes no calls and reads no clock. */
 public final class JobScheduler {
   private final Function<Job, String> poolOf;
+  private final BiPredicate<Task, Worker> permitted;
 
   /**
    * Makes a scheduler.
    *
    * @param poolOf tells the pool whose workers may run a job now
+   * @param permitted tells whether the queue's policy lets a worker run a task
    */
-  public JobScheduler(Function<Job, String> poolOf) {
+  public JobScheduler(Function<Job, String> poolOf, BiPredicate<Task, Worker> permitted) {
     this.poolOf = poolOf;
+    this.permitted = permitted;
   }
 
   /**
@@ -67,14 +72,14 @@
     return job.boundTasks() < job.unfinishedTasks();
   }
 
-  private static Optional<WorkerRoom> best(Task task, List<WorkerRoom> rooms) {
+  private Optional<WorkerRoom> best(Task task, List<WorkerRoom> rooms) {
     return rooms.stream()
-        .filter(room -> room.admits(task))
+        .filter(room -> room.admits(task) && permitted.test(task, room.worker()))
         .max(Comparator.comparingLong(room -> room.preferenceFor(task)));
   }
 
   /** What one round has decided so far. */
-  private static final class Round {
+  private final class Round {
     private final long timeOfDayMilliseconds;
     private final ImmutableList.Builder<RunStart> starts = ImmutableList.builder();
     private final Map<String, Long> shortages = new HashMap<>();
--- a/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
+++ b/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
@@ -39,6 +39,7 @@
   private int progress = 100;
   private int load;
   private int forgottenEnds;
+  private boolean demandsTickets;
   private boolean silent;
   private boolean loseNextStart;
   private boolean loseNextAnswer;
@@ -122,6 +123,11 @@
     leaseEnd = 0;
   }
 
+  /** Starts nothing without the adviser's ticket. */
+  void demandTickets() {
+    demandsTickets = true;
+  }
+
   CompletableFuture<StartAnswer> start(StartOrder order) {
     if (loseNextStart) {
       loseNextStart = false;
@@ -152,6 +158,9 @@
     if (order.run() <= highestEnded.getOrDefault(task, 0)) {
       return StartOutcome.SUPERSEDED;
     }
+    if (demandsTickets && !order.ticket().equals(Optional.of(order.task().stepText() + "@" + id))) {
+      return StartOutcome.NO_TICKET;
+    }
     leaseEnd = Math.max(leaseEnd, order.leaseEndMilliseconds());
     running.put(task, order.run());
     trial.onStarted(id, task);
--- a/core/src/test/java/org/verbenawheel/execution/FleetHostsTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHostsTest.java
@@ -3,6 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
 import java.time.Duration;
 import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
@@ -153,6 +156,55 @@
     assertThat(trial.hosts().pools()).containsEntry("host-s1", "spares");
   }
 
+  @Test
+  void idleHostsOfAPoolAreParked() {
+    idlePool(8);
+
+    trial.advance(Duration.ofSeconds(4));
+
+    assertThat(parked()).hasSize(1);
+  }
+
+  @Test
+  void hostToWhichATaskIsOnItsWayIsNotParked() {
+    idlePool(8);
+    trial.advance(Duration.ofMillis(1_500));
+    trial.holdCommits(true);
+    trial.submit("a", StepSpecification.builder().uses(1_000, 1, 0).build());
+
+    trial.advance(Duration.ofSeconds(4));
+    ImmutableSet<String> parked = parked();
+    trial.holdCommits(false);
+    trial.advance(Duration.ofMillis(100));
+
+    assertThat(trial.worker("w1").running()).hasSize(1);
+    assertThat(parked).isNotEmpty();
+    assertThat(parked).doesNotContain("host-w1");
+  }
+
+  @Test
+  void moveThatThePlatformCallsImpossibleIsNotOrderedAgain() {
+    trial.report("w1");
+    addHost("s1", "spares");
+    trial.hosts().refuseMoves(HostCalls.OrderOutcome.IMPOSSIBLE);
+    trial.submit("a", StepSpecification.builder().taskCount(40).uses(1_000, 1, 0).build());
+
+    trial.advance(Duration.ofSeconds(12));
+
+    assertThat(trial.hosts().moveOrders()).isEqualTo(1);
+  }
+
+  private void idlePool(int hosts) {
+    for (int number = 1; number <= hosts; number++) {
+      trial.report("w" + number);
+      addHost("w" + number, "p");
+    }
+  }
+
+  private ImmutableSet<String> parked() {
+    return ImmutableMap.copyOf(Maps.filterValues(trial.hosts().pools(), "spares"::equals)).keySet();
+  }
+
   private void addHost(String worker, String pool) {
     trial.hosts().add(new Host("host-" + worker, pool, HostState.UP, Optional.of(worker)));
   }
--- a/core/src/test/java/org/verbenawheel/execution/FleetTrial.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetTrial.java
@@ -8,11 +8,13 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.verbenawheel.job.JobCommands.AcceptJob;
 import org.verbenawheel.job.JobCommands.CancelJob;
@@ -52,6 +54,7 @@
   private final FleetConfigurationState configuration = new FleetConfigurationState();
   private final WaveLedger waves = new WaveLedger();
   private final FakeHosts hosts = new FakeHosts();
+  private final FakeAdviser adviser = new FakeAdviser();
   private final Map<String, FakeWorker> workers = new LinkedHashMap<>();
   private final Deque<Runnable> tasks = new ArrayDeque<>();
   private final List<Runnable> heldCommits = new ArrayList<>();
@@ -72,6 +75,7 @@
             this::commit,
             new Calls(),
             hosts,
+            adviser,
             waves,
             "control-1",
             TIMINGS,
@@ -93,6 +97,10 @@
         .begin(term);
   }
 
+  FakeAdviser adviser() {
+    return adviser;
+  }
+
   FakeHosts hosts() {
     return hosts;
   }
@@ -271,10 +279,65 @@
     public void forget(String workerId) {}
   }
 
+  /** An adviser that answers when it is told to. */
+  static final class FakeAdviser implements PlacementAdviser {
+    private final List<String> questions = new ArrayList<>();
+    private final Set<String> allowed = new HashSet<>();
+    private Optional<CompletableFuture<ImmutableMap<String, String>>> open = Optional.empty();
+    private ImmutableList<String> asked = ImmutableList.of();
+    private String openStep = "";
+
+    void allow(String worker) {
+      allowed.add(worker);
+    }
+
+    ImmutableList<String> questions() {
+      return ImmutableList.copyOf(questions);
+    }
+
+    ImmutableList<String> lastAsked() {
+      return asked;
+    }
+
+    /** Answers the open question; the ticket names the step and the worker. */
+    void answer() {
+      ImmutableMap.Builder<String, String> tickets = ImmutableMap.builder();
+      asked.stream()
+          .filter(allowed::contains)
+          .forEach(worker -> tickets.put(worker, openStep + "@" + worker));
+      CompletableFuture<ImmutableMap<String, String>> question = open.orElseThrow();
+      open = Optional.empty();
+      question.complete(tickets.buildOrThrow());
+    }
+
+    /** Lets the open question fail. */
+    void fail() {
+      CompletableFuture<ImmutableMap<String, String>> question = open.orElseThrow();
+      open = Optional.empty();
+      question.completeExceptionally(new IllegalStateException("the adviser is busy"));
+    }
+
+    @Override
+    public CompletableFuture<ImmutableMap<String, String>> approve(
+        String step, ImmutableList<String> workers, Duration timeout) {
+      if (open.isPresent()) {
+        throw new IllegalStateException("a second question while one is open: " + step);
+      }
+      questions.add(step);
+      asked = workers;
+      openStep = step;
+      CompletableFuture<ImmutableMap<String, String>> question = new CompletableFuture<>();
+      open = Optional.of(question);
+      return question;
+    }
+  }
+
   /** A platform whose hosts obey at once. */
   static final class FakeHosts implements HostCalls {
     private final Map<String, Host> hosts = new LinkedHashMap<>();
     private final List<String> maintained = new ArrayList<>();
+    private OrderOutcome moveOutcome = OrderOutcome.DONE;
+    private int moveOrders;
 
     void add(Host host) {
       hosts.put(host.name(), host);
@@ -301,10 +364,22 @@
       return CompletableFuture.completedFuture(OrderOutcome.DONE);
     }
 
+    /** Answers orders to move with a refusal. */
+    void refuseMoves(OrderOutcome outcome) {
+      moveOutcome = outcome;
+    }
+
+    int moveOrders() {
+      return moveOrders;
+    }
+
     @Override
     public CompletableFuture<OrderOutcome> move(String host, String pool, Authority authority) {
-      hosts.put(host, new Host(host, pool, HostState.UP, Optional.empty()));
-      return CompletableFuture.completedFuture(OrderOutcome.DONE);
+      moveOrders++;
+      if (moveOutcome == OrderOutcome.DONE) {
+        hosts.put(host, new Host(host, pool, HostState.UP, Optional.empty()));
+      }
+      return CompletableFuture.completedFuture(moveOutcome);
     }
   }
 }
--- a/core/src/test/java/org/verbenawheel/execution/PoolDemandTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/PoolDemandTest.java
@@ -76,8 +76,7 @@
             .estimateMilliseconds(500)
             .longRunning(longRunning)
             .build();
-    JobSpecification specification =
-        new JobSpecification("x", ImmutableList.of(step), 1, 0, 0);
+    JobSpecification specification = new JobSpecification("x", ImmutableList.of(step), 1, 0, 0);
     ledger.apply(
         new AcceptJob(job, "q", specification, new Limits("p", 0, 3, 60_000)),
         new ApplyContext(++index, at));
--- a/core/src/test/java/org/verbenawheel/gateway/QueueServiceTest.java
+++ b/core/src/test/java/org/verbenawheel/gateway/QueueServiceTest.java
@@ -106,7 +106,8 @@
   }
 
   private void install(long version, String prefix) {
-    QueueRoute queue = new QueueRoute("q", "h", prefix, "p", 3_000, 0, 3, 1.6, 600, false);
+    QueueRoute queue =
+        new QueueRoute("q", "h", prefix, "p", 3_000, 0, 3, 1.6, 600, Optional.empty());
     FleetConfiguration wanted =
         new FleetConfiguration(
             version,
--- a/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerExperiment.java
+++ b/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerExperiment.java
@@ -33,7 +33,7 @@
 
   private static void measure(int workers, int tasks) {
     JobLedger ledger = ledger(tasks);
-    JobScheduler scheduler = new JobScheduler(job -> job.limits().pool());
+    JobScheduler scheduler = new JobScheduler(job -> job.limits().pool(), (task, worker) -> true);
     int pools = Math.max(1, workers / 30);
     long nanoseconds = 0;
     for (int round = 0; round < WARM_UP_ROUNDS + ROUNDS; round++) {
--- a/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerTest.java
+++ b/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerTest.java
@@ -8,9 +8,11 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -29,8 +31,11 @@
 final class JobSchedulerTest {
   private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
 
+  private final Set<String> forbidden = new HashSet<>();
   private final JobLedger ledger = new JobLedger(Duration.ofMinutes(2));
-  private final JobScheduler scheduler = new JobScheduler(job -> job.limits().pool());
+  private final JobScheduler scheduler =
+      new JobScheduler(
+          job -> job.limits().pool(), (task, worker) -> !forbidden.contains(worker.id()));
   private final List<Worker> workers = new ArrayList<>();
   private final Map<String, ImmutableSet<TaskId>> failed = new HashMap<>();
   private Instant now = START;
@@ -65,6 +70,16 @@
     assertThat(decide()).containsExactly(new RunStart("b.0.0.0", 1, "large"));
   }
 
+  @Test
+  void workersThatThePolicyForbidsGetNothing() {
+    worker("w", 4_000, "r1");
+    worker("v", 9_000, "r1");
+    forbidden.add("w");
+    submit("a", 1_000, StepSpecification.builder().taskCount(9).uses(1_000, 1, 0).build());
+
+    assertThat(decide().stream().map(RunStart::worker).distinct().toList()).containsExactly("v");
+  }
+
   @Test
   void fullWorkersGetNothing() {
     worker("w", 2_000, "r1");
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -15,6 +15,7 @@
 import org.verbenawheel.daemon.PartDumps;
 import org.verbenawheel.execution.FleetLeadership;
 import org.verbenawheel.execution.HostCalls;
+import org.verbenawheel.execution.PlacementAdviser;
 import org.verbenawheel.execution.WorkerCalls;
 import org.verbenawheel.gateway.QueueAnswer;
 import org.verbenawheel.gateway.QueueAnswer.Outcome;
@@ -76,13 +77,15 @@
    * @param clock tells instants that never go back
    * @param calls sends orders to workers
    * @param hostCalls sends orders about hosts to the platform
+   * @param adviser tells which workers may run a step
    */
   public FleetControl(
       FleetSettings settings,
       Path dataFolder,
       InstantSource clock,
       WorkerCalls calls,
-      HostCalls hostCalls) {
+      HostCalls hostCalls,
+      PlacementAdviser adviser) {
     this.settings = settings;
     this.jobs = new JobLedger(settings.jobRetention());
     this.peers = FleetPeers.of(settings, clock);
@@ -111,6 +114,7 @@
             this::commit,
             calls,
             hostCalls,
+            adviser,
             waves,
             settings.process().value(),
             settings.execution(),
