Lend a host to tasks that find no place though their pool has room in all

Tasks that no worker of the pool could ever run are no shortage, since they drew hosts for nothing. Tests: FleetHostsTest spareHostIsLentToALastingTaskThatMustBeAlone... and JobSchedulerTest taskThatFitsOnNoWorkerIsNoShortage, the former seen failing; two in PoolSizingTest.

--- a/core/src/main/java/org/verbenawheel/execution/HostMover.java
+++ b/core/src/main/java/org/verbenawheel/execution/HostMover.java
@@ -67,7 +67,7 @@
     this.authority = authority;
     this.timings = timings;
     this.poolDemand = poolDemand;
-    this.sizing = new PoolSizing(timings.idleBeforeReturn());
+    this.sizing = new PoolSizing(timings.idleBeforeReturn(), timings.shortageBeforeMove());
   }
 
   /** Returns whether a worker's host was lent to its pool. */
@@ -111,7 +111,14 @@
     sizing
         .decide(
             new Situation(
-                members, lendable(moment), arriving(), demand, used, standby.get(), impossible),
+                members,
+                lendable(moment),
+                arriving(),
+                demand,
+                moment.shortages(),
+                used,
+                standby.get(),
+                impossible),
             now)
         .forEach(transfer -> move(transfer, now));
   }
--- a/core/src/main/java/org/verbenawheel/execution/PoolSizing.java
+++ b/core/src/main/java/org/verbenawheel/execution/PoolSizing.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -31,6 +32,8 @@
   private static final Duration PEAK_HALF_LIFE = Duration.ofSeconds(60);
 
   private final Duration idleBeforeParking;
+  private final Duration shortageBeforeLending;
+  private final Map<String, Instant> shortSince = new HashMap<>();
   private final Map<String, Double> peaks = new HashMap<>();
   private Optional<Instant> decidedAt = Optional.empty();
 
@@ -38,9 +41,11 @@
    * Makes a decider that knows of no peak yet.
    *
    * @param idleBeforeParking how long a host must have had nothing to do before it is parked
+   * @param shortageBeforeLending how long tasks must have found no place before that counts
    */
-  PoolSizing(Duration idleBeforeParking) {
+  PoolSizing(Duration idleBeforeParking, Duration shortageBeforeLending) {
     this.idleBeforeParking = idleBeforeParking;
+    this.shortageBeforeLending = shortageBeforeLending;
   }
 
   /**
@@ -79,6 +84,8 @@
    * @param parked hosts of the standby pool that may be lent
    * @param arriving what hosts on their way bring, in thousandths of a core, by pool
    * @param demand what each pool's jobs ask for, in thousandths of a core
+   * @param shortages what the waiting tasks need for which no worker has a place, in thousandths of
+   *     a core, by pool
    * @param used what the tasks bound to each pool's workers use, in thousandths of a core
    * @param standby the pool whose hosts are off
    * @param impossible transfers that the platform does not carry out
@@ -88,6 +95,7 @@
       List<String> parked,
       Map<String, Long> arriving,
       ImmutableMap<String, Long> demand,
+      Map<String, Long> shortages,
       Map<String, Long> used,
       String standby,
       Set<Transfer> impossible) {}
@@ -95,19 +103,34 @@
   /** Returns the transfers to order now. */
   ImmutableList<Transfer> decide(Situation situation, Instant now) {
     Map<String, Long> capacity = new HashMap<>();
-    situation.members().forEach(member -> capacity.merge(member.pool(), member.millicores(), Long::sum));
+    situation
+        .members()
+        .forEach(member -> capacity.merge(member.pool(), member.millicores(), Long::sum));
     notePeaks(capacity, situation.used(), now);
+    noteShortages(situation.shortages(), now);
     Round round = new Round(situation, capacity, now);
     round.lend();
     round.park();
     return ImmutableList.copyOf(round.transfers);
   }
 
+  private void noteShortages(Map<String, Long> shortages, Instant now) {
+    shortSince.keySet().removeIf(pool -> shortages.getOrDefault(pool, 0L) == 0);
+    shortages.forEach(
+        (pool, millicores) -> {
+          if (millicores > 0) {
+            shortSince.putIfAbsent(pool, now);
+          }
+        });
+  }
+
   /** A pool seen for the first time counts as just past a peak, so that it shrinks slowly. */
   private void notePeaks(Map<String, Long> capacity, Map<String, Long> used, Instant now) {
     double halfLives =
         decidedAt
-            .map(before -> Duration.between(before, now).toMillis() / (double) PEAK_HALF_LIFE.toMillis())
+            .map(
+                before ->
+                    Duration.between(before, now).toMillis() / (double) PEAK_HALF_LIFE.toMillis())
             .orElse(0.0);
     decidedAt = Optional.of(now);
     double kept = Math.pow(0.5, halfLives);
@@ -139,8 +162,10 @@
     }
 
     void lend() {
-      List<String> pools = new ArrayList<>(situation.demand().keySet());
-      pools.remove(situation.standby());
+      Set<String> asking = new HashSet<>(situation.demand().keySet());
+      asking.addAll(situation.shortages().keySet());
+      asking.remove(situation.standby());
+      List<String> pools = new ArrayList<>(asking);
       pools.sort(Comparator.comparing(pool -> -missing(pool)));
       for (String pool : pools) {
         long missing = missing(pool);
@@ -155,9 +180,16 @@
     }
 
     private long missing(String pool) {
-      long present =
-          capacity.getOrDefault(pool, 0L) + situation.arriving().getOrDefault(pool, 0L);
-      return wanted(pool) - present;
+      long arriving = situation.arriving().getOrDefault(pool, 0L);
+      long present = capacity.getOrDefault(pool, 0L) + arriving;
+      return Math.max(wanted(pool) - present, unplaced(pool) - arriving);
+    }
+
+    /** What waits although the pool may have enough: for a label, a rack or a worker alone. */
+    private long unplaced(String pool) {
+      Instant since = shortSince.get(pool);
+      boolean lasts = since != null && !now.isBefore(since.plus(shortageBeforeLending));
+      return lasts ? situation.shortages().getOrDefault(pool, 0L) : 0;
     }
 
     private long wanted(String pool) {
@@ -213,7 +245,7 @@
           .allMatch(
               label ->
                   situation.members().stream()
-                      .filter(other -> other != member && other.pool().equals(member.pool()))
+                      .filter(other -> !other.equals(member) && other.pool().equals(member.pool()))
                       .filter(other -> !isTaken(other))
                       .anyMatch(other -> other.labels().contains(label)));
     }
--- a/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
@@ -124,11 +124,19 @@
           start(task, task.run() + 1, room.get());
         } else {
           full = true;
-          shortMillicores += step.reservedMillicores();
+          noteShortage(task, rooms);
         }
       }
     }
 
+    /** More hosts do not help a task that is too large for any worker, or that none may run. */
+    private void noteShortage(Task task, List<WorkerRoom> rooms) {
+      if (rooms.isEmpty() || rooms.stream().anyMatch(room -> room.couldAdmit(task))) {
+        // Tasks that fill leftover time reserve none, and want a place all the same.
+        shortMillicores += Math.max(1, task.step().reservedMillicores());
+      }
+    }
+
     private void start(Task task, int run, WorkerRoom room) {
       room.take(task);
       starts.add(new RunStart(task.id().text(), run, room.worker().id()));
@@ -148,7 +156,7 @@
       }
       boolean placed = racks.values().stream().anyMatch(rack -> placeAll(members, rack));
       if (!placed && !placeAll(members, rooms)) {
-        shortMillicores += (long) members.size() * step.reservedMillicores();
+        members.forEach(member -> noteShortage(member, rooms));
       }
     }
 
--- a/core/src/main/java/org/verbenawheel/scheduling/WorkerRoom.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/WorkerRoom.java
@@ -77,6 +77,19 @@
     }
   }
 
+  /** Returns whether the worker could run a task if it ran nothing else. */
+  boolean couldAdmit(Task task) {
+    StepSpecification step = task.step();
+    return step.reservedMillicores() <= worker.capacity().cpuMillicores()
+        && step.memoryMegabytes() <= worker.capacity().memoryMegabytes()
+        && step.accelerators() <= worker.capacity().accelerators()
+        && isLabelled(step);
+  }
+
+  private boolean isLabelled(StepSpecification step) {
+    return step.requiredLabel().isEmpty() || worker.labels().contains(step.requiredLabel());
+  }
+
   /** Returns whether the worker may run one more task of a step. */
   boolean admits(Task task) {
     StepSpecification step = task.step();
@@ -84,12 +97,10 @@
         step.reservedMillicores() <= freeMillicores
             && step.memoryMegabytes() <= freeMegabytes
             && step.accelerators() <= freeAccelerators;
-    boolean labelled =
-        step.requiredLabel().isEmpty() || worker.labels().contains(step.requiredLabel());
     boolean apart =
         step.maximumPerWorker() == 0
             || tasksOfStep.getOrDefault(StepKey.of(task), 0) < step.maximumPerWorker();
-    return fits && labelled && apart;
+    return fits && isLabelled(step) && apart;
   }
 
   /**
--- a/core/src/test/java/org/verbenawheel/execution/FleetHostsTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHostsTest.java
@@ -194,6 +194,24 @@
     assertThat(trial.hosts().moveOrders()).isEqualTo(1);
   }
 
+  @Test
+  void spareHostIsLentToALastingTaskThatMustBeAloneThoughOthersHaveRoom() {
+    idlePool(2);
+    addHost("s1", "spares");
+    trial.submit(
+        "a",
+        StepSpecification.builder()
+            .taskCount(3)
+            .uses(1_000, 1, 0)
+            .maximumPerWorker(1)
+            .longRunning(true)
+            .build());
+
+    trial.advance(Duration.ofSeconds(1));
+
+    assertThat(trial.hosts().pools()).containsEntry("host-s1", "p");
+  }
+
   private void idlePool(int hosts) {
     for (int number = 1; number <= hosts; number++) {
       trial.report("w" + number);
--- a/core/src/test/java/org/verbenawheel/execution/PoolSizingTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/PoolSizingTest.java
@@ -24,10 +24,11 @@
   private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
   private static final long HOST_MILLICORES = 32_000;
 
-  private final PoolSizing sizing = new PoolSizing(Duration.ofSeconds(2));
+  private final PoolSizing sizing = new PoolSizing(Duration.ofSeconds(2), Duration.ofMillis(100));
   private final List<Member> members = new ArrayList<>();
   private final List<String> parked = new ArrayList<>();
   private final Map<String, Long> demand = new HashMap<>();
+  private final Map<String, Long> shortages = new HashMap<>();
   private final Map<String, Long> used = new HashMap<>();
   private final Map<String, Long> arriving = new HashMap<>();
   private final Set<Transfer> impossible = new HashSet<>();
@@ -87,6 +88,31 @@
         .containsExactly("p", "p");
   }
 
+  @Test
+  void tasksThatFindNoPlaceGetAHostThoughThePoolHasEnoughInAll() {
+    idleHosts("p", 4);
+    parked.addAll(List.of("s1", "s2"));
+    shortages.put("p", 1_000L);
+    assertThat(decide(Duration.ZERO)).isEmpty();
+
+    assertThat(decide(Duration.ofMillis(100))).containsExactly("s1");
+    arriving.put("p", HOST_MILLICORES);
+    assertThat(decide(Duration.ofMillis(200))).isEmpty();
+  }
+
+  @Test
+  void shortageOfAMomentLendsNothing() {
+    idleHosts("p", 4);
+    parked.add("s1");
+    shortages.put("p", 1_000L);
+    var unused = decide(Duration.ZERO);
+    shortages.clear();
+    unused = decide(Duration.ofMillis(50));
+    shortages.put("p", 1_000L);
+
+    assertThat(decide(Duration.ofMillis(120))).isEmpty();
+  }
+
   @Test
   void hostsOnTheirWayCount() {
     idleHosts("p", 2);
@@ -182,8 +208,7 @@
 
   private static Member member(
       String host, String pool, Optional<Instant> idleSince, String label) {
-    return new Member(
-        host, pool, HOST_MILLICORES, ImmutableSet.of(label), idleSince, false, false);
+    return new Member(host, pool, HOST_MILLICORES, ImmutableSet.of(label), idleSince, false, false);
   }
 
   private ImmutableList<String> decide(Duration afterStart) {
@@ -195,7 +220,14 @@
   private ImmutableList<Transfer> transfers(Duration afterStart) {
     return sizing.decide(
         new Situation(
-            members, parked, arriving, ImmutableMap.copyOf(demand), used, "standby", impossible),
+            members,
+            parked,
+            arriving,
+            ImmutableMap.copyOf(demand),
+            shortages,
+            used,
+            "standby",
+            impossible),
         START.plus(afterStart));
   }
 }
--- a/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerTest.java
+++ b/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerTest.java
@@ -70,6 +70,15 @@
     assertThat(decide()).containsExactly(new RunStart("b.0.0.0", 1, "large"));
   }
 
+  @Test
+  void taskThatFitsOnNoWorkerIsNoShortage() {
+    worker("w", 2_000, "r1");
+    submit("large", 1_000, StepSpecification.builder().uses(3_000, 1, 0).build());
+    submit("other", 1_000, StepSpecification.builder().requiredLabel("none").build());
+
+    assertThat(round().shortages().getOrDefault("p", 0L)).isEqualTo(0);
+  }
+
   @Test
   void workersThatThePolicyForbidsGetNothing() {
     worker("w", 4_000, "r1");
