Log slow scheduling rounds and delays of the state thread

The log of the incident shows pauses of 0.2 to 0.66 s on the leader, but not what it does in them: a scheduling round, a pause of the virtual machine or another task. Rounds now have a timer and, from 50 ms on, a line with the jobs, workers and queues considered; the tick of the leader loop measures how long a task waits for the state thread, which is how long callers wait at least twice. Both are bounded: one line a round, and one in 200 ms. Control processes had no metrics of the leader's own work before.

--- a/core/src/main/java/org/verbenawheel/event/Event.java
+++ b/core/src/main/java/org/verbenawheel/event/Event.java
@@ -85,6 +85,10 @@
   JOB_CANCELLED,
   /** A job ended. */
   JOB_ENDED,
+  /** A scheduling round held the state thread for long. */
+  SCHEDULING_SLOW,
+  /** A task waited long for the state thread, and so did all calls queued beside it. */
+  STATE_THREAD_DELAYED,
   /** A run of a task was assigned to a worker. */
   RUN_BOUND,
   /** A run of a task ended. */
--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -2,10 +2,13 @@
 
 import static com.google.common.collect.ImmutableSet.toImmutableSet;
 
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -52,11 +55,15 @@
    */
   private static final long FENCING_TOKENS_PER_TERM = 1L << 16;
 
+  /** Callers notice a round of this length, since their calls wait for the same thread. */
+  private static final Duration SLOW_ROUND = Duration.ofMillis(50);
+
   private final FleetContext context;
   private final FleetConfigurationState configuration;
   private final CommandSink sink;
   private final LongSupplier timeOfDayMilliseconds;
   private final JobScheduler scheduler;
+  private final Timer roundTimer;
   private final AdviceRequests advice;
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
   private final WorkerRoster roster;
@@ -74,6 +81,7 @@
     this.sink = factory.sink;
     this.configuration = factory.configuration;
     this.timeOfDayMilliseconds = factory.timeOfDayMilliseconds;
+    this.roundTimer = factory.metrics.timer("scheduling.round");
     this.context =
         new FleetContext(
             factory.jobRegistry,
@@ -148,6 +156,7 @@
    * @param clock a monotonic clock
    * @param timeOfDayMilliseconds the wall clock, in milliseconds since 1970
    * @param stateThread the thread that owns the state
+   * @param metrics receives the time of each scheduling round
    */
   public record Factory(
       JobRegistry jobRegistry,
@@ -165,7 +174,8 @@
       MoveTimings moveTimings,
       InstantSource clock,
       LongSupplier timeOfDayMilliseconds,
-      Executor stateThread) {
+      Executor stateThread,
+      MetricRegistry metrics) {
 
     /**
      * Begins the leadership of a term. Every entry of earlier terms must have been applied.
@@ -259,6 +269,7 @@
             schedulableRooms(now),
             now,
             timeOfDayMilliseconds.getAsLong());
+    recordRound(Duration.between(now, context.now()), decision);
     shortages = decision.shortages();
     ImmutableList<RunStart> starts = decision.starts();
     if (starts.isEmpty()) {
@@ -275,6 +286,21 @@
         (reply, failure) -> onBound(starts, failure == null));
   }
 
+  private void recordRound(Duration duration, SchedulingResult decision) {
+    roundTimer.update(duration);
+    if (duration.compareTo(SLOW_ROUND) < 0) {
+      return;
+    }
+    logger.atWarning().log(
+        "%s",
+        EventLine.of(Event.SCHEDULING_SLOW)
+            .with("milliseconds", duration.toMillis())
+            .with("jobs", context.jobRegistry().active().size())
+            .with("workers", sessions.size())
+            .with("queues", configuration.current().map(found -> found.queues().size()).orElse(0))
+            .with("starts", decision.starts().size()));
+  }
+
   private WorkerSession requireSession(String worker) {
     return Objects.requireNonNull(
         sessions.get(worker), "the scheduler chose a worker without a session");
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -1,5 +1,6 @@
 package org.verbenawheel.execution;
 
+import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
@@ -101,7 +102,8 @@
                 Duration.ofSeconds(2)),
             clock,
             () -> now.toEpochMilli(),
-            stateThreadTasks::add)
+            stateThreadTasks::add,
+            new MetricRegistry())
         .begin(term);
   }
 
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -137,8 +137,11 @@
             settings.moves(),
             clock,
             System::currentTimeMillis,
-            replica::executeOnState);
-    this.leaderLoop = new LeaderLoop(replica, clock, leadershipFactory::begin);
+            replica::executeOnState,
+            metrics);
+    this.leaderLoop =
+        new LeaderLoop(
+            replica, clock, leadershipFactory::begin, metrics.timer("state-thread.delay"));
     peers.addHandler(replica);
     peers.addHandler(this);
     registerGauges();
--- a/daemon/src/main/java/org/verbenawheel/fleet/LeaderLoop.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/LeaderLoop.java
@@ -1,6 +1,9 @@
 package org.verbenawheel.fleet;
 
+import com.codahale.metrics.Timer;
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.Executors;
@@ -8,6 +11,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
+import org.verbenawheel.event.Event;
+import org.verbenawheel.event.EventLine;
 import org.verbenawheel.execution.FleetLeadership;
 import org.verbenawheel.replication.ReplicaProcess;
 import org.verbenawheel.replication.ReplicaStatus;
@@ -24,11 +29,18 @@
  * suspension of the process.
  */
 final class LeaderLoop implements SupervisedPart {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   /** Short compared with the lease of runs and with the time that callers wait. */
   private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
 
+  /** A caller's call waits for the state thread at least twice, so this delays it noticeably. */
+  private static final Duration LONG_DELAY = Duration.ofMillis(200);
+
   private final ReplicaProcess replica;
+  private final InstantSource clock;
   private final Function<Long, FleetLeadership> leadershipFactory;
+  private final Timer delayTimer;
   private final SuspensionDetector suspension;
   private @Nullable ScheduledExecutorService executor;
   private @Nullable FleetLeadership leadership;
@@ -38,13 +50,18 @@
   /**
    * Creates a loop that is not started.
    *
+   * @param clock a monotonic clock
    * @param leadershipFactory begins the leadership of the given term; called on the state thread
+   * @param delayTimer receives how long each tick waits for the state thread
    */
   LeaderLoop(
       ReplicaProcess replica,
       InstantSource clock,
-      Function<Long, FleetLeadership> leadershipFactory) {
+      Function<Long, FleetLeadership> leadershipFactory,
+      Timer delayTimer) {
     this.replica = replica;
+    this.clock = clock;
+    this.delayTimer = delayTimer;
     this.leadershipFactory = leadershipFactory;
     this.suspension = new SuspensionDetector(clock, System::currentTimeMillis);
   }
@@ -65,7 +82,7 @@
             });
     var unused =
         started.scheduleWithFixedDelay(
-            () -> replica.executeOnState(this::onTick),
+            this::queueTick,
             TICK_INTERVAL.toMillis(),
             TICK_INTERVAL.toMillis(),
             TimeUnit.MILLISECONDS);
@@ -85,6 +102,23 @@
     return Optional.ofNullable(leadership);
   }
 
+  private void queueTick() {
+    Instant queuedAt = clock.instant();
+    replica.executeOnState(
+        () -> {
+          recordDelay(Duration.between(queuedAt, clock.instant()));
+          onTick();
+        });
+  }
+
+  private void recordDelay(Duration delay) {
+    delayTimer.update(delay);
+    if (delay.compareTo(LONG_DELAY) >= 0) {
+      logger.atWarning().atMostEvery(200, TimeUnit.MILLISECONDS).log(
+          "%s", EventLine.of(Event.STATE_THREAD_DELAYED).with("milliseconds", delay.toMillis()));
+    }
+  }
+
   private void onTick() {
     Optional<ReplicaStatus> status = replica.status();
     boolean leads = status.filter(current -> current.role() == Role.LEADER).isPresent();
