Find a job's queue by an index instead of a search through all queues

Cause: the leader asked the configuration for a job's queue by a linear search that joins host and prefix of each queue to a new text. It did so for each waiting task and worker in a scheduling round, for each job in a round, and for each job in each tick of the placement advice, 20 times a second.

Ruled out: a pause of the virtual machine (the rounds themselves are slow).

Fix: QueueIndex, made once for each configuration, finds a queue by its address with one look-up, and by host and path with one for each length of prefix. The policy of a step's queue is looked up once for the step, not for each task and worker.

--- a/core/src/main/java/org/verbenawheel/execution/AdviceRequests.java
+++ b/core/src/main/java/org/verbenawheel/execution/AdviceRequests.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.verbenawheel.event.Event;
 import org.verbenawheel.event.EventLine;
@@ -66,9 +67,12 @@
     this.nextRequestAt = context.leadingSince();
   }
 
-  /** Returns whether the policy of a task's queue lets a worker run the task now. */
-  boolean permits(Task task, Worker worker) {
-    return policies.apply(task.job()).isEmpty() || ticket(task, worker).isPresent();
+  /** Returns which workers the policy of a task's queue lets run the tasks of its step now. */
+  Predicate<Worker> permittedWorkers(Task task) {
+    if (policies.apply(task.job()).isEmpty()) {
+      return worker -> true;
+    }
+    return worker -> ticket(task, worker).isPresent();
   }
 
   /**
--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -98,7 +98,7 @@
         new WorkerRoster(context, factory.registry, factory.sink, sessions, this::schedule);
     this.advice =
         new AdviceRequests(context, factory.adviser, this::advicePolicyOf, this::schedule);
-    this.scheduler = new JobScheduler(this::poolOf, advice::permits);
+    this.scheduler = new JobScheduler(this::poolOf, advice::permittedWorkers);
     this.evacuations = new Evacuations(context, sessions, this::isStandbyPool, this::onWorkerEnded);
     HostCalls.OrderIssuer orderIssuer = new HostCalls.OrderIssuer(factory.process, term);
     HostOrderRecorder orderRecorder =
@@ -395,10 +395,7 @@
   }
 
   private Optional<AdvicePolicy> advicePolicyOf(Job job) {
-    return configuration
-        .current()
-        .flatMap(current -> current.queueWithAddress(job.queue()))
-        .flatMap(QueueRoute::advice);
+    return configuration.queues().queueWithAddress(job.queue()).flatMap(QueueRoute::advice);
   }
 
   /**
@@ -407,8 +404,8 @@
    */
   private String poolOf(Job job) {
     return configuration
-        .current()
-        .flatMap(current -> current.queueWithAddress(job.queue()))
+        .queues()
+        .queueWithAddress(job.queue())
         .map(QueueRoute::pool)
         .orElse(job.limits().pool());
   }
--- a/core/src/main/java/org/verbenawheel/gateway/QueueService.java
+++ b/core/src/main/java/org/verbenawheel/gateway/QueueService.java
@@ -61,7 +61,7 @@
           Outcome.NOT_CONFIGURED,
           "no configuration is installed yet: send one to the control processes");
     }
-    Optional<QueueRoute> found = inForce.get().queueFor(call.host(), call.path());
+    Optional<QueueRoute> found = configuration.queues().queueFor(call.host(), call.path());
     if (found.isEmpty()) {
       return refuse(
           call,
--- a/core/src/main/java/org/verbenawheel/queue/FleetConfiguration.java
+++ b/core/src/main/java/org/verbenawheel/queue/FleetConfiguration.java
@@ -1,14 +1,13 @@
 package org.verbenawheel.queue;
 
 import com.google.common.collect.ImmutableList;
-import java.util.Comparator;
 import java.util.HashSet;
-import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
 /**
- * One version of the operators' configuration of queues and pools.
+ * One version of the operators' configuration of queues and pools; {@link QueueIndex} finds a
+ * queue.
  *
  * @param version the number of the operators' change; the highest version is in force
  * @param queues all queues
@@ -40,28 +39,6 @@
     return problems.build();
   }
 
-  /**
-   * Returns the queue that a request addresses: the one with the longest matching path prefix. Host
-   * names match in any case.
-   *
-   * @param host the host name, without a port
-   * @param path the path of the request
-   */
-  public Optional<QueueRoute> queueFor(String host, String path) {
-    return queues.stream()
-        .filter(queue -> queue.host().equalsIgnoreCase(host) && path.startsWith(queue.pathPrefix()))
-        .max(Comparator.comparingInt(queue -> queue.pathPrefix().length()));
-  }
-
-  /**
-   * Returns the queue with an address.
-   *
-   * @param address the host name and path prefix, see {@link QueueRoute#address}
-   */
-  public Optional<QueueRoute> queueWithAddress(String address) {
-    return queues.stream().filter(queue -> queue.address().equals(address)).findFirst();
-  }
-
   /**
    * Returns whether a pool is a standby pool, whose hosts are off.
    *
--- a/core/src/main/java/org/verbenawheel/queue/FleetConfigurationState.java
+++ b/core/src/main/java/org/verbenawheel/queue/FleetConfigurationState.java
@@ -23,12 +23,23 @@
       new MessageCodec(
           MessageKinds.builder().add(SNAPSHOT_KIND, ConfigurationSnapshot.class).build());
   private Optional<FleetConfiguration> current = Optional.empty();
+  private QueueIndex queues = QueueIndex.EMPTY;
 
   /** Returns the configuration in force; empty until the operators have sent one. */
   public Optional<FleetConfiguration> current() {
     return current;
   }
 
+  /** Returns the queues of the configuration in force. */
+  public QueueIndex queues() {
+    return queues;
+  }
+
+  private void putInForce(Optional<FleetConfiguration> configuration) {
+    current = configuration;
+    queues = configuration.map(QueueIndex::of).orElse(QueueIndex.EMPTY);
+  }
+
   @Override
   public String name() {
     return "fleet-configuration";
@@ -46,7 +57,7 @@
     }
     FleetConfiguration proposed = install.configuration();
     if (current.isEmpty() || proposed.version() > current.get().version()) {
-      current = Optional.of(proposed);
+      putInForce(Optional.of(proposed));
     }
     return new ConfigurationInstalled(current.get().version());
   }
@@ -59,7 +70,7 @@
   @Override
   public void restore(byte[] snapshot) throws DamagedSnapshotException {
     try {
-      current = ((ConfigurationSnapshot) codec.decode(snapshot)).current();
+      putInForce(((ConfigurationSnapshot) codec.decode(snapshot)).current());
     } catch (MalformedMessageException malformed) {
       throw new DamagedSnapshotException(
           "the fleet's configuration in the snapshot cannot be read; replace this replica",
--- a/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
@@ -11,8 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.BiPredicate;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.verbenawheel.job.Job;
 import org.verbenawheel.job.JobCommands.RunStart;
 import org.verbenawheel.job.JobSpecification;
@@ -26,17 +26,19 @@
  */
 public final class JobScheduler {
   private final Function<Job, String> poolOf;
-  private final BiPredicate<Task, Worker> isPermitted;
+  private final Function<Task, Predicate<Worker>> permittedWorkers;
 
   /**
    * Creates a scheduler.
    *
    * @param poolOf returns the pool whose workers may run a job now
-   * @param isPermitted whether the policy of the job's queue lets a worker run a task
+   * @param permittedWorkers returns which workers the policy of the job's queue lets run a task;
+   *     called once a step, so the tasks of a step must have the same ones
    */
-  public JobScheduler(Function<Job, String> poolOf, BiPredicate<Task, Worker> isPermitted) {
+  public JobScheduler(
+      Function<Job, String> poolOf, Function<Task, Predicate<Worker>> permittedWorkers) {
     this.poolOf = poolOf;
-    this.isPermitted = isPermitted;
+    this.permittedWorkers = permittedWorkers;
   }
 
   /**
@@ -78,9 +80,10 @@
     return new SchedulingResult(round.starts.build(), ImmutableMap.copyOf(round.shortages));
   }
 
-  private Optional<FreeCapacity> bestWorker(Task task, List<FreeCapacity> candidates) {
+  private static Optional<FreeCapacity> bestWorker(
+      Task task, List<FreeCapacity> candidates, Predicate<Worker> isPermitted) {
     return candidates.stream()
-        .filter(candidate -> candidate.canRun(task) && isPermitted.test(task, candidate.worker()))
+        .filter(candidate -> candidate.canRun(task) && isPermitted.test(candidate.worker()))
         .max(Comparator.comparingLong(candidate -> candidate.preferenceFor(task)));
   }
 
@@ -121,13 +124,14 @@
         placeGang(tasks, step, candidates);
         return;
       }
+      Predicate<Worker> isPermitted = permittedWorkers.apply(tasks.get(0));
       boolean noWorkerFits = false;
       for (Task task : tasks) {
         if (task.phase() != Task.Phase.WAITING) {
           continue;
         }
         Optional<FreeCapacity> candidate =
-            noWorkerFits ? Optional.empty() : bestWorker(task, candidates);
+            noWorkerFits ? Optional.empty() : bestWorker(task, candidates, isPermitted);
         if (candidate.isPresent()) {
           start(task, task.run() + 1, candidate.get());
         } else {
@@ -182,8 +186,9 @@
       candidates.forEach(candidate -> originals.put(candidate.copy(), candidate));
       List<FreeCapacity> copies = new ArrayList<>(originals.keySet());
       List<FreeCapacity> chosen = new ArrayList<>();
+      Predicate<Worker> isPermitted = permittedWorkers.apply(members.get(0));
       for (Task member : members) {
-        Optional<FreeCapacity> candidate = bestWorker(member, copies);
+        Optional<FreeCapacity> candidate = bestWorker(member, copies, isPermitted);
         if (candidate.isEmpty()) {
           return false;
         }
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -240,6 +240,10 @@
     runTasks();
   }
 
+  void schedule() {
+    leadership.schedule();
+  }
+
   void cancel(String job) {
     apply(new CancelJob(job, "q"));
   }
--- /dev/null
+++ b/core/src/test/java/org/verbenawheel/execution/SchedulingCostTest.java
@@ -0,0 +1,69 @@
+package org.verbenawheel.execution;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.lang.management.ManagementFactory;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.verbenawheel.job.StepSpecification;
+import org.verbenawheel.queue.FleetConfiguration;
+import org.verbenawheel.queue.InstallConfiguration;
+import org.verbenawheel.queue.QueueRoute;
+
+/** Tests what a scheduling round of {@link FleetLeadership} costs as the deployment grows. */
+final class SchedulingCostTest {
+  private static final int WORKERS = 40;
+  private static final int JOBS = 150;
+  private static final int FEW_QUEUES = 8;
+  private static final int MANY_QUEUES = 2_000;
+  private static final int ROUNDS = 12;
+
+  private final FleetHarness fleet = new FleetHarness();
+
+  // A leader whose rounds search all queues for each waiting task and worker answers no caller.
+  @Test
+  void roundWithABacklogCostsNoMoreWithManyQueues() {
+    for (int worker = 0; worker < WORKERS; worker++) {
+      fleet.report("w" + worker);
+    }
+    fleet.advance(Duration.ofMillis(500));
+    install(1, FEW_QUEUES);
+    for (int job = 0; job < JOBS; job++) {
+      fleet.submit("j" + job, StepSpecification.builder().taskCount(2).uses(20_000, 1, 0).build());
+    }
+    long withFewQueues = shortestRoundNanoseconds();
+    install(2, MANY_QUEUES);
+
+    assertThat(shortestRoundNanoseconds()).isLessThan(3 * withFewQueues);
+  }
+
+  private void install(long version, int queues) {
+    ImmutableList<QueueRoute> routes =
+        IntStream.range(0, queues)
+            .mapToObj(number -> route("other-" + number, "/" + number + "/"))
+            .collect(ImmutableList.toImmutableList());
+    ImmutableList<QueueRoute> all =
+        ImmutableList.<QueueRoute>builder().addAll(routes).add(route("q", "")).build();
+    fleet.apply(
+        new InstallConfiguration(new FleetConfiguration(version, all, ImmutableList.of(), "")));
+  }
+
+  private static QueueRoute route(String host, String pathPrefix) {
+    return new QueueRoute(
+        host + pathPrefix, host, pathPrefix, "p", 3_000, 0, 3, 1.6, 600, Optional.empty());
+  }
+
+  private long shortestRoundNanoseconds() {
+    return LongStream.generate(this::roundNanoseconds).limit(ROUNDS).min().orElseThrow();
+  }
+
+  private long roundNanoseconds() {
+    long before = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+    fleet.schedule();
+    return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - before;
+  }
+}
--- a/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerExperiment.java
+++ b/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerExperiment.java
@@ -36,7 +36,7 @@
 
   private static void measure(int workers, int tasks) {
     JobRegistry jobRegistry = registryWithTasks(tasks);
-    JobScheduler scheduler = new JobScheduler(job -> job.limits().pool(), (task, worker) -> true);
+    JobScheduler scheduler = new JobScheduler(job -> job.limits().pool(), task -> worker -> true);
     int pools = Math.max(1, workers / 30);
     long nanoseconds = 0;
     for (int round = 0; round < WARM_UP_ROUNDS + ROUNDS; round++) {
--- a/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerTest.java
+++ b/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerTest.java
@@ -35,7 +35,7 @@
   private final JobRegistry jobRegistry = new JobRegistry(Duration.ofMinutes(2));
   private final JobScheduler scheduler =
       new JobScheduler(
-          job -> job.limits().pool(), (task, worker) -> !forbiddenWorkers.contains(worker.id()));
+          job -> job.limits().pool(), task -> worker -> !forbiddenWorkers.contains(worker.id()));
   private final List<Worker> workers = new ArrayList<>();
   private final Map<String, ImmutableSet<TaskId>> failedTasksByWorker = new HashMap<>();
   private Instant now = START;
