Turn tasks that fit nowhere away without a look at each worker

PoolCapacity keeps the largest free amounts of a pool; in an overloaded pool a waiting task is turned away by one comparison. Tasks of a step that found no worker are counted together. Evacuations keeps the cordoned workers as a set (it searched all evacuations for each worker), and a wave counts the hosts of each pool once (it counted them again for each host that is pending).

--- a/core/src/main/java/org/verbenawheel/execution/Evacuations.java
+++ b/core/src/main/java/org/verbenawheel/execution/Evacuations.java
@@ -1,6 +1,9 @@
 package org.verbenawheel.execution;
 
+import static com.google.common.collect.ImmutableSet.toImmutableSet;
+
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
@@ -32,6 +35,7 @@
   private final Predicate<String> standbyPools;
   private final Consumer<String> workerEndedListener;
   private final Map<String, Evacuation> evacuations = new HashMap<>();
+  private ImmutableSet<String> cordonedWorkers = ImmutableSet.of();
 
   /**
    * Creates a tracker without evacuations.
@@ -61,16 +65,25 @@
 
   /** Returns whether a worker gets no new tasks because its host goes down. */
   boolean isCordoned(String worker) {
-    return evacuations.values().stream()
-        .anyMatch(evacuation -> evacuation.worker().filter(worker::equals).isPresent());
+    return cordonedWorkers.contains(worker);
+  }
+
+  private void updateCordonedWorkers() {
+    cordonedWorkers =
+        evacuations.values().stream()
+            .flatMap(evacuation -> evacuation.worker().stream())
+            .collect(toImmutableSet());
   }
 
   void begin(String host, Optional<String> worker, Instant now) {
     evacuations.put(host, new Evacuation(worker, now));
+    updateCordonedWorkers();
   }
 
   void retainOnly(Set<String> hosts) {
-    evacuations.keySet().retainAll(hosts);
+    if (evacuations.keySet().retainAll(hosts)) {
+      updateCordonedWorkers();
+    }
   }
 
   void onWorkerEnded(String worker) {
@@ -85,12 +98,14 @@
    * @return whether no task is bound to the host's worker; false if no evacuation was begun
    */
   boolean advance(String host, Optional<String> worker, Instant now, boolean deadlineNear) {
-    Evacuation evacuation =
-        evacuations.computeIfPresent(
-            host, (unused, present) -> new Evacuation(worker, present.since()));
+    Evacuation evacuation = evacuations.get(host);
     if (evacuation == null) {
       return false;
     }
+    if (!evacuation.worker().equals(worker)) {
+      evacuations.put(host, new Evacuation(worker, evacuation.since()));
+      updateCordonedWorkers();
+    }
     boolean empty = true;
     for (Task task :
         worker.map(id -> context.jobRegistry().boundTo(id).asList()).orElse(ImmutableList.of())) {
--- a/core/src/main/java/org/verbenawheel/execution/WaveController.java
+++ b/core/src/main/java/org/verbenawheel/execution/WaveController.java
@@ -114,9 +114,13 @@
 
   private void advance(Wave wave, Instant now, Set<String> evacuating) {
     Map<String, Integer> busyInPool = new HashMap<>();
+    Map<String, Integer> unfinishedInPool = new HashMap<>();
     long busy = 0;
     for (Map.Entry<String, UpkeepPhase> entry : wave.hosts().entrySet()) {
       String name = entry.getKey();
+      if (entry.getValue() != UpkeepPhase.FINISHED) {
+        poolOf(name).ifPresent(pool -> unfinishedInPool.merge(pool, 1, Integer::sum));
+      }
       if (entry.getValue().isDown() || evacuations.isUnderWay(name)) {
         busy++;
         poolOf(name).ifPresent(pool -> busyInPool.merge(pool, 1, Integer::sum));
@@ -145,7 +149,8 @@
               && orderRecorder.mayOrder(name, now)
               && busy < wave.maximumDown()
               && busyInPool.getOrDefault(host.get().pool(), 0)
-                  < maximumBusyInPool(wave, host.get(), now)) {
+                  < maximumBusyInPool(
+                      wave, host.get(), unfinishedInPool.getOrDefault(host.get().pool(), 0), now)) {
             busy++;
             busyInPool.merge(host.get().pool(), 1, Integer::sum);
             evacuating.add(name);
@@ -164,16 +169,13 @@
   /**
    * Returns how many hosts of a pool may be worked on at once: as few as the wave's deadline
    * allows, and any number in a standby pool.
+   *
+   * @param unfinished how many hosts of the wave in this pool are not finished
    */
-  private long maximumBusyInPool(Wave wave, Host host, Instant now) {
-    long remaining =
-        wave.hosts().entrySet().stream()
-            .filter(entry -> entry.getValue() != UpkeepPhase.FINISHED)
-            .filter(entry -> poolOf(entry.getKey()).filter(host.pool()::equals).isPresent())
-            .count();
+  private long maximumBusyInPool(Wave wave, Host host, long unfinished, Instant now) {
     long millisecondsLeft = Math.max(1, Duration.between(now, wave.deadline()).toMillis());
     long needed =
-        (remaining * timings.hostCycle().toMillis() + millisecondsLeft - 1) / millisecondsLeft;
+        (unfinished * timings.hostCycle().toMillis() + millisecondsLeft - 1) / millisecondsLeft;
     return evacuations.isStandbyPool(host.pool()) ? Long.MAX_VALUE : Math.max(1, needed);
   }
 
--- a/core/src/main/java/org/verbenawheel/scheduling/FreeCapacity.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/FreeCapacity.java
@@ -63,6 +63,11 @@
     return freeMillicores;
   }
 
+  /** Returns the memory that is free, in megabytes. */
+  int freeMegabytes() {
+    return freeMegabytes;
+  }
+
   /** Subtracts what a task reserves. The task is bound to this worker, or about to be. */
   public void reserve(Task task) {
     StepSpecification step = task.step();
--- a/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
@@ -5,9 +5,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -57,12 +55,13 @@
       List<FreeCapacity> candidates,
       Instant now,
       long timeOfDayMilliseconds) {
-    Map<String, List<FreeCapacity>> candidatesByPool = new HashMap<>();
+    Map<String, PoolCapacity> capacityByPool = new HashMap<>();
     candidates.forEach(
         candidate ->
-            candidatesByPool
-                .computeIfAbsent(candidate.worker().pool(), pool -> new ArrayList<>())
+            capacityByPool
+                .computeIfAbsent(candidate.worker().pool(), pool -> new PoolCapacity())
                 .add(candidate));
+    PoolCapacity noWorkers = new PoolCapacity();
     Round round = new Round(timeOfDayMilliseconds);
     jobs.stream()
         .filter(Job::hasWaitingTask)
@@ -72,7 +71,7 @@
             ranked -> {
               String pool = poolOf.apply(ranked.job());
               long shortfallBefore = round.shortfallMillicores;
-              round.place(ranked.job(), candidatesByPool.getOrDefault(pool, List.of()));
+              round.place(ranked.job(), capacityByPool.getOrDefault(pool, noWorkers));
               if (ranked.status() != RankedJob.ObjectiveStatus.TOO_LATE) {
                 round.shortages.merge(pool, round.shortfallMillicores - shortfallBefore, Long::sum);
               }
@@ -80,13 +79,6 @@
     return new SchedulingResult(round.starts.build(), ImmutableMap.copyOf(round.shortages));
   }
 
-  private static Optional<FreeCapacity> bestWorker(
-      Task task, List<FreeCapacity> candidates, Predicate<Worker> isPermitted) {
-    return candidates.stream()
-        .filter(candidate -> candidate.canRun(task) && isPermitted.test(candidate.worker()))
-        .max(Comparator.comparingLong(candidate -> candidate.preferenceFor(task)));
-  }
-
   /** Collects the starts and the shortages of one call of {@link #decide}. */
   private final class Round {
     private final long timeOfDayMilliseconds;
@@ -98,7 +90,7 @@
       this.timeOfDayMilliseconds = timeOfDayMilliseconds;
     }
 
-    void place(Job job, List<FreeCapacity> candidates) {
+    void place(Job job, PoolCapacity capacity) {
       JobSpecification specification = job.specification();
       for (int occurrence = 0; occurrence < specification.occurrences(); occurrence++) {
         if (!isDue(specification, occurrence)) {
@@ -106,7 +98,7 @@
         }
         for (int step = 0; step < specification.steps().size(); step++) {
           if (!job.isDone(occurrence, step) && job.isReady(occurrence, step)) {
-            place(job.tasks(occurrence, step), specification.steps().get(step), candidates);
+            place(job.tasks(occurrence, step), specification.steps().get(step), capacity);
           }
         }
       }
@@ -118,87 +110,82 @@
               >= job.firstStartMilliseconds() + occurrence * job.intervalMilliseconds();
     }
 
-    private void place(
-        ImmutableList<Task> tasks, StepSpecification step, List<FreeCapacity> candidates) {
+    private void place(ImmutableList<Task> tasks, StepSpecification step, PoolCapacity capacity) {
       if (step.gang()) {
-        placeGang(tasks, step, candidates);
+        placeGang(tasks, step, capacity);
         return;
       }
-      Predicate<Worker> isPermitted = permittedWorkers.apply(tasks.get(0));
-      boolean noWorkerFits = false;
-      for (Task task : tasks) {
-        if (task.phase() != Task.Phase.WAITING) {
-          continue;
-        }
-        Optional<FreeCapacity> candidate =
-            noWorkerFits ? Optional.empty() : bestWorker(task, candidates, isPermitted);
-        if (candidate.isPresent()) {
-          start(task, task.run() + 1, candidate.get());
-        } else {
-          noWorkerFits = true;
-          recordShortage(task, candidates);
+      List<Task> waiting =
+          tasks.stream().filter(task -> task.phase() == Task.Phase.WAITING).toList();
+      if (waiting.isEmpty()) {
+        return;
+      }
+      Predicate<Worker> isPermitted = permittedWorkers.apply(waiting.get(0));
+      for (int index = 0; index < waiting.size(); index++) {
+        Task task = waiting.get(index);
+        Optional<FreeCapacity> worker = capacity.bestWorker(task, isPermitted);
+        if (worker.isEmpty()) {
+          recordShortage(task, waiting.size() - index, capacity);
+          return;
         }
+        start(task, task.run() + 1, worker.get(), capacity);
       }
     }
 
     /**
-     * Adds a task to the pool's shortage, unless more hosts would not help: no worker of the pool
-     * could run it even when idle, since it is too large or its label is missing. In a pool without
-     * workers every task counts.
+     * Adds tasks of one step to the pool's shortage, unless more hosts would not help: no worker of
+     * the pool could run them even when idle, since they are too large or its label is missing. In
+     * a pool without workers every task counts.
      */
-    private void recordShortage(Task task, List<FreeCapacity> candidates) {
-      if (candidates.isEmpty()
-          || candidates.stream().anyMatch(candidate -> candidate.couldRunWhenIdle(task))) {
+    private void recordShortage(Task task, int taskCount, PoolCapacity capacity) {
+      if (capacity.couldRunWhenIdle(task)) {
         // Tasks that use only leftover processor time reserve none, but still need a worker.
-        shortfallMillicores += Math.max(1, task.step().reservedMillicores());
+        shortfallMillicores += (long) taskCount * Math.max(1, task.step().reservedMillicores());
       }
     }
 
-    private void start(Task task, int run, FreeCapacity candidate) {
-      candidate.reserve(task);
-      starts.add(new RunStart(task.id().text(), run, candidate.worker().id()));
+    private void start(Task task, int run, FreeCapacity worker, PoolCapacity capacity) {
+      capacity.reserve(worker, task);
+      starts.add(new RunStart(task.id().text(), run, worker.worker().id()));
     }
 
     /** Starts all members of a gang or none, if possible on one rack when the step asks for it. */
     private void placeGang(
-        ImmutableList<Task> members, StepSpecification step, List<FreeCapacity> candidates) {
+        ImmutableList<Task> members, StepSpecification step, PoolCapacity capacity) {
       if (members.stream().anyMatch(member -> member.phase() != Task.Phase.WAITING)) {
         return;
       }
-      Map<String, List<FreeCapacity>> racks = new LinkedHashMap<>();
-      if (step.singleRack()) {
-        candidates.forEach(
-            candidate ->
-                racks
-                    .computeIfAbsent(candidate.worker().rack(), rack -> new ArrayList<>())
-                    .add(candidate));
-      }
-      boolean placed = racks.values().stream().anyMatch(rack -> placeAll(members, rack));
-      if (!placed && !placeAll(members, candidates)) {
-        members.forEach(member -> recordShortage(member, candidates));
+      List<PoolCapacity> racks = step.singleRack() ? capacity.byRack() : List.of();
+      boolean placed = racks.stream().anyMatch(rack -> placeAll(members, rack, capacity));
+      if (!placed && !placeAll(members, capacity, capacity)) {
+        recordShortage(members.get(0), members.size(), capacity);
       }
     }
 
-    /** Tries the placement on copies, so that a gang that does not fit takes no capacity. */
-    private boolean placeAll(ImmutableList<Task> members, List<FreeCapacity> candidates) {
+    /**
+     * Tries the placement on copies, so that a gang that does not fit takes no capacity.
+     *
+     * @param candidates the workers that the gang may use
+     * @param capacity the pool that they belong to
+     */
+    private boolean placeAll(
+        ImmutableList<Task> members, PoolCapacity candidates, PoolCapacity capacity) {
       int run = members.stream().mapToInt(Task::run).max().orElse(0) + 1;
-      Map<FreeCapacity, FreeCapacity> originals = new LinkedHashMap<>();
-      candidates.forEach(candidate -> originals.put(candidate.copy(), candidate));
-      List<FreeCapacity> copies = new ArrayList<>(originals.keySet());
+      PoolCapacity.Trial trial = candidates.copy();
       List<FreeCapacity> chosen = new ArrayList<>();
       Predicate<Worker> isPermitted = permittedWorkers.apply(members.get(0));
       for (Task member : members) {
-        Optional<FreeCapacity> candidate = bestWorker(member, copies, isPermitted);
-        if (candidate.isEmpty()) {
+        Optional<FreeCapacity> worker = trial.capacity().bestWorker(member, isPermitted);
+        if (worker.isEmpty()) {
           return false;
         }
-        candidate.get().reserve(member);
-        chosen.add(candidate.get());
+        trial.capacity().reserve(worker.get(), member);
+        chosen.add(worker.get());
       }
       for (int index = 0; index < members.size(); index++) {
-        FreeCapacity original = originals.get(chosen.get(index));
+        FreeCapacity original = trial.originals().get(chosen.get(index));
         if (original != null) {
-          start(members.get(index), run, original);
+          start(members.get(index), run, original, capacity);
         }
       }
       return true;
