Let all requests for a scheduling round that wait share one, and pause after a long one

A round takes longer the more jobs wait, so from some backlog on the rounds alone filled the thread.

Fix: a request queues one round behind the tasks that wait for the thread; all requests until then share it. A report that changes nothing requests none.

--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -73,8 +73,9 @@
   private final HostMover hostMover;
   private ImmutableMap<String, Long> shortages = ImmutableMap.of();
   private ImmutableSet<String> workersBeingBound = ImmutableSet.of();
+  private final RoundPacer pacer = new RoundPacer();
   private boolean bindingInFlight;
-  private boolean scheduleAfterBinding;
+  private boolean roundRequested;
   private boolean ended;
 
   private FleetLeadership(Factory factory, long term) {
@@ -89,15 +90,15 @@
             factory.timings,
             factory.clock,
             factory.stateThread,
-            new EndRecorder(factory.sink, factory.stateThread, this::schedule),
+            new EndRecorder(factory.sink, factory.stateThread, this::requestRound),
             new WorkerFailureTracker(),
             new AdviceCache(),
             term * FENCING_TOKENS_PER_TERM,
             factory.clock.instant());
     this.roster =
-        new WorkerRoster(context, factory.registry, factory.sink, sessions, this::schedule);
+        new WorkerRoster(context, factory.registry, factory.sink, sessions, this::requestRound);
     this.advice =
-        new AdviceRequests(context, factory.adviser, this::advicePolicyOf, this::schedule);
+        new AdviceRequests(context, factory.adviser, this::advicePolicyOf, this::requestRound);
     this.scheduler = new JobScheduler(this::poolOf, advice::permittedWorkers);
     this.evacuations = new Evacuations(context, sessions, this::isStandbyPool, this::onWorkerEnded);
     HostCalls.OrderIssuer orderIssuer = new HostCalls.OrderIssuer(factory.process, term);
@@ -201,7 +202,8 @@
     }
     releaseRunsOfForgottenWorkers();
     waves.onTick(now);
-    schedule();
+    roundRequested = true;
+    runRequestedRound();
     advice.askNext(job -> usableWorkers(poolOf(job), now));
     hostMover.onTick(
         now,
@@ -246,18 +248,25 @@
   }
 
   /**
-   * Binds waiting tasks to workers. If a binding is being committed, runs another round after it
-   * instead.
+   * Requests that waiting tasks are bound to workers. The round runs after the tasks that wait for
+   * the state thread, so that all requests until then share it; not before a binding in flight is
+   * committed, and at the latest on the next tick that the pacer allows.
    */
-  public void schedule() {
-    if (ended) {
-      return;
+  public void requestRound() {
+    if (!roundRequested) {
+      roundRequested = true;
+      context.stateThread().execute(this::runRequestedRound);
     }
-    if (bindingInFlight) {
-      scheduleAfterBinding = true;
-      return;
+  }
+
+  private void runRequestedRound() {
+    if (roundRequested && !ended && !bindingInFlight && pacer.isDue(context.now())) {
+      roundRequested = false;
+      runRound();
     }
-    scheduleAfterBinding = false;
+  }
+
+  private void runRound() {
     if (context.jobRegistry().active().stream().noneMatch(Job::hasWaitingTask)) {
       shortages = ImmutableMap.of();
       return;
@@ -269,7 +278,9 @@
             schedulableRooms(now),
             now,
             timeOfDayMilliseconds.getAsLong());
-    recordRound(Duration.between(now, context.now()), decision);
+    Instant end = context.now();
+    pacer.onRound(now, end);
+    recordRound(Duration.between(now, end), decision);
     shortages = decision.shortages();
     ImmutableList<RunStart> starts = decision.starts();
     if (starts.isEmpty()) {
@@ -334,9 +345,7 @@
     if (committed) {
       starts.forEach(this::startRun);
     }
-    if (scheduleAfterBinding) {
-      schedule();
-    }
+    runRequestedRound();
   }
 
   private void startRun(RunStart start) {
--- a/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
@@ -60,7 +60,7 @@
     lastReportSequence.put(reported.id(), sequence);
     forgetPredecessors(reported);
     if (registered.filter(reported::equals).isPresent()) {
-      applyReport(reported, clockMilliseconds);
+      updateSession(reported, clockMilliseconds);
       return CompletableFuture.completedFuture(null);
     }
     CompletableFuture<Object> recorded = new CompletableFuture<>();
@@ -76,7 +76,8 @@
                     .with("pool", reported.pool())
                     .with("address", reported.address())
                     .with("draining", reported.draining()));
-            applyReport(reported, clockMilliseconds);
+            updateSession(reported, clockMilliseconds);
+            onWorkersChanged.run();
             recorded.complete(reply);
           } else {
             recorded.completeExceptionally(orMissingReply(failure));
@@ -128,11 +129,10 @@
         .forEach(other -> forgetInBackground(other, "its host or address has a new worker"));
   }
 
-  private void applyReport(Worker reported, Optional<Long> clockMilliseconds) {
+  private void updateSession(Worker reported, Optional<Long> clockMilliseconds) {
     WorkerSession session =
         sessions.computeIfAbsent(reported.id(), unused -> new WorkerSession(context, reported));
     session.onReport(reported, clockMilliseconds);
-    onWorkersChanged.run();
   }
 
   /**
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -68,6 +68,7 @@
   private final List<Runnable> heldCommits = new ArrayList<>();
   private final List<String> startedTwice = new ArrayList<>();
   private final InstantSource clock = this::now;
+  private final MetricRegistry metrics = new MetricRegistry();
   private Instant now = START;
   private boolean holdsCommits;
   private long index;
@@ -103,7 +104,7 @@
             clock,
             () -> now.toEpochMilli(),
             stateThreadTasks::add,
-            new MetricRegistry())
+            metrics)
         .begin(term);
   }
 
@@ -233,15 +234,33 @@
   }
 
   void submit(String job, StepSpecification... steps) {
+    accept(job, steps);
+    schedule();
+  }
+
+  private void accept(String job, StepSpecification... steps) {
     JobSpecification specification =
         new JobSpecification("x", ImmutableList.copyOf(steps), 1, 0, 0);
     apply(new AcceptJob(job, "q", specification, new Limits("p", 0, 3, 60_000)));
-    leadership.schedule();
-    runTasks();
   }
 
   void schedule() {
-    leadership.schedule();
+    leadership.requestRound();
+    runTasks();
+  }
+
+  /** Returns how many scheduling rounds were run. */
+  long rounds() {
+    return metrics.timer("scheduling.round").getCount();
+  }
+
+  /** Accepts jobs of one step at one moment. */
+  void submitTogether(int jobs, StepSpecification step) {
+    for (int job = 0; job < jobs; job++) {
+      accept("together-" + job, step);
+      leadership.requestRound();
+    }
+    runTasks();
   }
 
   void cancel(String job) {
--- a/core/src/test/java/org/verbenawheel/execution/SchedulingCostTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/SchedulingCostTest.java
@@ -41,6 +41,28 @@
     assertThat(shortestRoundNanoseconds()).isLessThan(3 * withFewQueues);
   }
 
+  // A round for each accepted job, each end and each report leaves no time to answer callers.
+  @Test
+  void jobsThatAreAcceptedTogetherShareOneRound() {
+    long before = fleet.rounds();
+
+    fleet.submitTogether(JOBS, StepSpecification.builder().build());
+
+    assertThat(fleet.rounds() - before).isEqualTo(1);
+  }
+
+  @Test
+  void reportThatChangesNothingStartsNoRound() {
+    fleet.report("w1");
+    fleet.advance(Duration.ofMillis(500));
+    fleet.submitTogether(1, StepSpecification.builder().uses(90_000, 1, 0).build());
+    long before = fleet.rounds();
+
+    fleet.report("w1");
+
+    assertThat(fleet.rounds()).isEqualTo(before);
+  }
+
   private void install(long version, int queues) {
     ImmutableList<QueueRoute> routes =
         IntStream.range(0, queues)
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -342,7 +342,8 @@
 
   private QueueAnswer scheduleIfAccepted(QueueAnswer answer) {
     if (answer.outcome() == Outcome.ACCEPTED) {
-      replica.executeOnState(() -> leaderLoop.leadership().ifPresent(FleetLeadership::schedule));
+      replica.executeOnState(
+          () -> leaderLoop.leadership().ifPresent(FleetLeadership::requestRound));
     }
     return answer;
   }
