Keep a control process running while its disk is full, and open the replica again

Callers and operators saw (disks of control full for some seconds each, in turn): changes refused or unanswered. Here each full disk ended a process with code 1 at the first full write and again at each start while it was full; where nothing starts it again it stays away, and after some such disks the quorum is gone for good.

Cause: a refused write failed the part "replica"; the supervisor opened it again at once, which must rewrite the end of the log, failed again on the still full disk, and gave the whole process up. A full disk was treated like a damaged one.

Fix: DiskFolder tells failures of the operating system (DiskFailureException), which may pass, from damage, missing files and a folder in use, which end the process as before. A folder that can't be opened is no longer left locked.

--- a/core/src/main/java/org/verbenawheel/event/Event.java
+++ b/core/src/main/java/org/verbenawheel/event/Event.java
@@ -52,6 +52,8 @@
   SNAPSHOT_WRITTEN,
   /** A replica recovered its state from disk. */
   REPLICA_RECOVERED,
+  /** The disk of a replica fails, for example because it is full; it is opened again later. */
+  STORAGE_UNAVAILABLE,
   /** A replica replaced its state by a snapshot from the leader. */
   SNAPSHOT_INSTALLED,
   /** The member set of the replica cluster changed. */
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaProcess.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaProcess.java
@@ -44,7 +44,7 @@
   private final Consumer<ReplicaStatus> statusListener;
   private final CommandSubmitter submitter;
   private final RemoteCommandLog commandLog;
-  private volatile @Nullable RunningReplica running;
+  private volatile @Nullable ReplicaLauncher launcher;
 
   private ReplicaProcess(Builder builder) {
     this.settings = builder.settings();
@@ -82,37 +82,42 @@
 
   @Override
   public synchronized void start(FailureListener failures) throws PartFailedException {
-    checkState(running == null, "already started");
-    DataFolder folder = openFolder();
-    FirstFailureReporter failureReporter = new FirstFailureReporter(failures);
-    try {
-      RunningReplica started =
-          new RunningReplica(
-              settings, clock, links, machine, folder, statusListener, failureReporter::onFailure);
-      running = started;
-      started.start();
-    } catch (StorageException | DamagedSnapshotException unusable) {
-      folder.close();
-      throw new PartFailedException("replica cannot start: " + unusable.getMessage(), unusable);
-    }
+    checkState(launcher == null, "already started");
+    ReplicaLauncher started = new ReplicaLauncher(this::open, failures);
+    started.start();
+    launcher = started;
   }
 
-  private DataFolder openFolder() throws PartFailedException {
+  private RunningReplica open(Consumer<Throwable> failureListener)
+      throws StorageException, DamagedSnapshotException {
+    DataFolder folder = folderOpener.open();
+    boolean opened = false;
     try {
-      return folderOpener.open();
-    } catch (StorageException unusable) {
-      throw new PartFailedException("replica cannot start: " + unusable.getMessage(), unusable);
+      RunningReplica replica =
+          new RunningReplica(
+              settings, clock, links, machine, folder, statusListener, failureListener);
+      opened = true;
+      return replica;
+    } finally {
+      if (!opened) {
+        folder.close();
+      }
     }
   }
 
   @Override
   public synchronized void stop(Duration grace) {
-    RunningReplica stopped = running;
+    ReplicaLauncher stopped = launcher;
     if (stopped == null) {
       return;
     }
     stopped.stop(grace);
-    running = null;
+    launcher = null;
+  }
+
+  private @Nullable RunningReplica running() {
+    ReplicaLauncher current = launcher;
+    return current == null ? null : current.running().orElse(null);
   }
 
   /** Commits a command through the leader, wherever it runs. */
@@ -130,7 +135,7 @@
    */
   public CompletableFuture<CommandReply> submitAsLeader(CommandEnvelope envelope) {
     return submitter.submit(
-        running,
+        running(),
         new SubmitCommand(envelope.commandId(), Payload.of(codec.encode(envelope.command()))));
   }
 
@@ -142,7 +147,7 @@
    */
   public <T> CompletableFuture<T> read(Supplier<T> query) {
     CompletableFuture<T> result = new CompletableFuture<>();
-    RunningReplica current = running;
+    RunningReplica current = running();
     if (current == null) {
       result.completeExceptionally(new NotLeaderException(Optional.empty()));
       return result;
@@ -153,7 +158,7 @@
 
   /** Returns this replica's status; empty while it is not started. */
   public Optional<ReplicaStatus> status() {
-    return Optional.ofNullable(running).map(RunningReplica::status);
+    return Optional.ofNullable(running()).map(RunningReplica::status);
   }
 
   /**
@@ -171,7 +176,7 @@
    * @param task must not block
    */
   public void executeOnState(Runnable task) {
-    RunningReplica current = running;
+    RunningReplica current = running();
     if (current != null) {
       current.executeOnState(task);
     }
@@ -179,7 +184,7 @@
 
   /** Returns a dump of this replica and its parts for operators; empty while not started. */
   public CompletableFuture<Optional<ReplicaDump>> dump() {
-    RunningReplica current = running;
+    RunningReplica current = running();
     if (current == null) {
       return CompletableFuture.completedFuture(Optional.empty());
     }
@@ -199,7 +204,7 @@
 
   @Override
   public void onMessage(ProcessId from, PeerMessage message) {
-    RunningReplica current = running;
+    RunningReplica current = running();
     if (current != null && message instanceof ReplicationMessage replication) {
       current.onMessage(from, replication);
     }
@@ -209,7 +214,7 @@
   public Optional<CompletableFuture<PeerMessage>> onRequest(ProcessId from, PeerMessage message) {
     if (message instanceof SubmitCommand command) {
       Optional<ProcessId> leader = status().flatMap(ReplicaStatus::leader);
-      return Optional.of(submitter.submitForPeer(running, command, leader));
+      return Optional.of(submitter.submitForPeer(running(), command, leader));
     }
     return Optional.empty();
   }
--- a/core/src/main/java/org/verbenawheel/storage/DiskFolder.java
+++ b/core/src/main/java/org/verbenawheel/storage/DiskFolder.java
@@ -34,7 +34,8 @@
    * that a crash left behind.
    *
    * @param folder the folder; created if missing
-   * @throws StorageException if another process has it open, or it cannot be created
+   * @throws DiskFailureException if it cannot be created or read
+   * @throws StorageException if another process has it open
    */
   public static DiskFolder open(Path folder) throws StorageException {
     try {
@@ -42,17 +43,29 @@
       FileChannel channel =
           FileChannel.open(
               folder.resolve(LOCK_FILE), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+      return openLocked(folder, channel);
+    } catch (IOException failed) {
+      throw failure("open", folder, failed);
+    }
+  }
+
+  private static DiskFolder openLocked(Path folder, FileChannel channel)
+      throws IOException, StorageException {
+    boolean opened = false;
+    try {
       if (lock(channel) == null) {
-        channel.close();
         throw new StorageException(
             "data folder "
                 + folder
                 + " is in use by another process. Stop that process, or give each its own folder");
       }
       removeTemporaryFiles(folder);
+      opened = true;
       return new DiskFolder(folder, channel);
-    } catch (IOException failed) {
-      throw failure("open", folder, failed);
+    } finally {
+      if (!opened) {
+        closeQuietly(channel);
+      }
     }
   }
 
@@ -170,14 +183,14 @@
   }
 
   private static StorageException failure(String action, Path file, IOException cause) {
-    return new StorageException(
+    return new DiskFailureException(
         "cannot "
             + action
             + " "
             + file
             + ": "
             + cause.getMessage()
-            + ". Check the free space, the permissions and the health of the disk, then restart",
+            + ". Check the free space, the permissions and the health of the disk",
         cause);
   }
 
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -152,6 +152,7 @@
     metrics.gauge(
         "replica.commitIndex",
         () -> () -> replica.status().map(ReplicaStatus::commitIndex).orElse(0L));
+    metrics.gauge("replica.knowsLeader", () -> () -> knowsLeader() ? 1 : 0);
     metrics.gauge("replica.mayDecide", () -> () -> replica.mayDecide() ? 1 : 0);
   }
 
@@ -176,7 +177,11 @@
   /** Returns whether this process knows the leader, possibly itself, and is not draining. */
   @Override
   public boolean ready() {
-    return !draining && replica.status().flatMap(ReplicaStatus::leader).isPresent();
+    return !draining && knowsLeader();
+  }
+
+  private boolean knowsLeader() {
+    return replica.status().flatMap(ReplicaStatus::leader).isPresent();
   }
 
   @Override
