Do not resend a request to a leader that answers others

Cause: an entry gave an attempt 700 ms, forgot it and the leader, and sent the request again. The answer that came after 0.8 s counted for nothing. A leader that is only slow got up to four times the calls, each with a commit, and stayed slow after the cause had gone.

Fix: an attempt stays open until the caller's deadline, so a late answer counts. The request is sent again only if its target fails, says that it doesn't lead, or has answered nothing to anybody for 700 ms.

--- a/daemon/src/main/java/org/verbenawheel/fleet/QueueCalls.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/QueueCalls.java
@@ -33,8 +33,11 @@
 final class QueueCalls {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Longer than a commit takes on a slow disk, short enough for several attempts. */
-  private static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(700);
+  /**
+   * A process that has answered nothing for this long is not expected to answer. Longer than a
+   * commit takes on a slow disk, short enough for several attempts.
+   */
+  private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(700);
 
   /** Without any answer for this long, the entry is partitioned or there is no leader. */
   private static final Duration UNREACHABLE_AFTER = Duration.ofMillis(1_200);
@@ -54,7 +57,7 @@
   private final AtomicInteger rotation = new AtomicInteger();
   private volatile Optional<ProcessId> leader = Optional.empty();
   private volatile ImmutableSet<ProcessId> controls;
-  private volatile Instant lastAnswerAt = Instant.MIN;
+  private volatile Optional<LeaderAnswer> lastAnswer = Optional.empty();
 
   QueueCalls(PeerLinks links, InstantSource clock, ImmutableSet<ProcessId> seeds) {
     this.links = links;
@@ -71,7 +74,7 @@
 
   /** Returns when a leader answered last; {@link Instant#MIN} if none has. */
   Instant lastAnswerAt() {
-    return lastAnswerAt;
+    return lastAnswer.map(LeaderAnswer::at).orElse(Instant.MIN);
   }
 
   /**
@@ -96,6 +99,10 @@
         });
   }
 
+  private void forgetLeader(ProcessId lost) {
+    leader = leader.filter(known -> !known.equals(lost));
+  }
+
   private void updateLeader(QueueAnswer answer) {
     leader = answer.leader();
     if (!answer.controls().isEmpty()) {
@@ -111,7 +118,8 @@
     private final Instant startedAt = clock.instant();
     private final Instant deadline;
     private final CompletableFuture<QueueAnswer> result = new CompletableFuture<>();
-    private boolean mayHaveRun;
+    private volatile boolean mayHaveRun;
+    private final AtomicInteger attempts = new AtomicInteger();
 
     PendingCall(QueueCall call, Instant deadline) {
       this.call = call;
@@ -122,56 +130,99 @@
       Instant now = clock.instant();
       Duration left = Duration.between(now, deadline);
       boolean leaderUnreachable =
-          now.isAfter(lastAnswerAt.plus(UNREACHABLE_AFTER))
+          now.isAfter(lastAnswerAt().plus(UNREACHABLE_AFTER))
               && now.isAfter(startedAt.plus(UNREACHABLE_RETRY_LIMIT));
       if (left.toMillis() <= 0 || leaderUnreachable) {
         completeWithoutAnswer();
         return;
       }
-      ProcessId target = nextTarget();
-      Duration timeout = left.compareTo(ATTEMPT_TIMEOUT) < 0 ? left : ATTEMPT_TIMEOUT;
+      Attempt attempt = new Attempt(attempts.incrementAndGet(), nextTarget(), now);
+      watch(attempt, SILENCE_TIMEOUT);
       var unused =
           links
-              .request(target, call, timeout)
-              .whenComplete((reply, failure) -> onReply(target, reply, failure));
+              .request(attempt.target(), call, left)
+              .whenComplete((reply, failure) -> onReply(attempt, reply, failure));
+    }
+
+    /** Checks the attempt's target for silence after a delay. */
+    private void watch(Attempt attempt, Duration delay) {
+      executeAfter(delay, () -> resendIfSilent(attempt));
+    }
+
+    /**
+     * Sends the request to another process if the target seems lost. A target that answers other
+     * requests is only slow: a second request would add to its load, and its answer still counts.
+     */
+    private void resendIfSilent(Attempt attempt) {
+      if (result.isDone() || !isLatest(attempt)) {
+        return;
+      }
+      Duration remaining = Duration.between(clock.instant(), silentAt(attempt));
+      if (remaining.toMillis() > 0) {
+        watch(attempt, remaining);
+        return;
+      }
+      mayHaveRun = true;
+      forgetLeader(attempt.target());
+      attempt();
+    }
+
+    private Instant silentAt(Attempt attempt) {
+      Instant lastSign =
+          lastAnswer
+              .filter(answer -> answer.from().equals(attempt.target()))
+              .map(LeaderAnswer::at)
+              .filter(at -> at.isAfter(attempt.sentAt()))
+              .orElse(attempt.sentAt());
+      return lastSign.plus(SILENCE_TIMEOUT);
     }
 
     private void onReply(
-        ProcessId target, @Nullable PeerMessage reply, @Nullable Throwable failure) {
+        Attempt attempt, @Nullable PeerMessage reply, @Nullable Throwable failure) {
       if (reply instanceof QueueAnswer answer) {
-        onAnswer(target, answer);
+        onAnswer(attempt, answer);
         return;
       }
       mayHaveRun |=
           !(failure instanceof PeerUnreachableException unreachable
               && unreachable.verdict() == RunVerdict.NOT_RUN);
-      leader = leader.filter(current -> !current.equals(target));
-      retry();
+      forgetLeader(attempt.target());
+      retryAfter(attempt);
     }
 
-    private void onAnswer(ProcessId target, QueueAnswer answer) {
+    private void onAnswer(Attempt attempt, QueueAnswer answer) {
       switch (answer.outcome()) {
         case NOT_LEADER -> {
           updateLeader(answer);
-          retry();
+          retryAfter(attempt);
         }
-        case NOT_DONE -> retry();
+        case NOT_DONE -> retryAfter(attempt);
         case UNKNOWN -> {
           mayHaveRun = true;
-          retry();
+          retryAfter(attempt);
         }
         default -> {
-          leader = Optional.of(target);
-          lastAnswerAt = clock.instant();
+          leader = Optional.of(attempt.target());
+          lastAnswer = Optional.of(new LeaderAnswer(attempt.target(), clock.instant()));
           result.complete(answer);
         }
       }
     }
 
-    private void retry() {
-      Executor delayed =
-          CompletableFuture.delayedExecutor(RETRY_DELAY.toMillis(), TimeUnit.MILLISECONDS);
-      delayed.execute(this::attempt);
+    private boolean isLatest(Attempt attempt) {
+      return attempt.number() == attempts.get();
+    }
+
+    /** Sends the request again, unless a later attempt is under way. */
+    private void retryAfter(Attempt attempt) {
+      if (isLatest(attempt)) {
+        executeAfter(RETRY_DELAY, this::attempt);
+      }
+    }
+
+    private void executeAfter(Duration delay, Runnable task) {
+      Executor delayed = CompletableFuture.delayedExecutor(delay.toMillis(), TimeUnit.MILLISECONDS);
+      delayed.execute(task);
     }
 
     private void completeWithoutAnswer() {
@@ -187,4 +238,21 @@
       result.complete(QueueAnswer.of(outcome, "no leader answered in time"));
     }
   }
+
+  /**
+   * One sending of a request.
+   *
+   * @param number counts the sendings of the request
+   * @param target the process that it was sent to
+   * @param sentAt when
+   */
+  private record Attempt(int number, ProcessId target, Instant sentAt) {}
+
+  /**
+   * The latest answer to any request that only a leader gives.
+   *
+   * @param from the leader
+   * @param at when it arrived
+   */
+  private record LeaderAnswer(ProcessId from, Instant at) {}
 }
--- a/daemon/src/test/java/org/verbenawheel/fleet/QueueCallsTest.java
+++ b/daemon/src/test/java/org/verbenawheel/fleet/QueueCallsTest.java
@@ -33,6 +33,8 @@
   private static final ProcessId SECOND = new ProcessId("10.0.0.2:7");
   private static final QueueCall CALL =
       new QueueCall(Operation.SUBMIT, "h", "/q/1", Optional.empty());
+  private static final QueueCall OTHER_CALL =
+      new QueueCall(Operation.READ, "h", "/q/2", Optional.empty());
   private static final Duration TIMEOUT = Duration.ofMillis(400);
 
   private final InstantSource clock = MonotonicInstantSource.startingNow();
@@ -85,16 +87,60 @@
     assertThat(Duration.ofNanos(System.nanoTime() - before)).isLessThan(Duration.ofSeconds(10));
   }
 
+  // Resending what a slow leader still works on multiplied its load and kept it slow.
+  @Test
+  void requestIsNotSentAgainToALeaderThatAnswersOthers() throws Exception {
+    CompletableFuture<PeerMessage> slow = links.addOpenAnswer();
+    CompletableFuture<QueueAnswer> result = calls.send(CALL, Duration.ofSeconds(30));
+    // FIRST answers other requests, every 200 ms.
+    for (int other = 0; other < 10; other++) {
+      links.addAnswer(QueueAnswer.notLeader(Optional.of(FIRST), ImmutableList.of()));
+      links.addAnswer(QueueAnswer.of(Outcome.ACCEPTED));
+      calls.send(OTHER_CALL, TIMEOUT).join();
+      Thread.sleep(200);
+    }
+
+    assertThat(links.sent(CALL)).isEqualTo(1);
+    slow.complete(QueueAnswer.of(Outcome.ACCEPTED));
+    assertThat(result.join().outcome()).isEqualTo(Outcome.ACCEPTED);
+  }
+
+  @Test
+  void requestIsSentToAnotherProcessWhenTheLeaderIsSilent() {
+    links.addAnswer(QueueAnswer.of(Outcome.ACCEPTED));
+    calls.send(OTHER_CALL, TIMEOUT).join();
+    CompletableFuture<PeerMessage> unanswered = links.addOpenAnswer();
+    links.addAnswer(QueueAnswer.of(Outcome.ACCEPTED));
+
+    assertThat(calls.send(CALL, Duration.ofSeconds(10)).join().outcome())
+        .isEqualTo(Outcome.ACCEPTED);
+    assertThat(links.targets).containsExactly(FIRST, FIRST, SECOND).inOrder();
+    assertThat(unanswered.isDone()).isFalse();
+  }
+
   /** Returns the queued answers in order, then fails every request with the default verdict. */
   private static final class FakeLinks implements PeerLinks {
     private final Deque<CompletableFuture<PeerMessage>> answers = new ArrayDeque<>();
     private final List<ProcessId> targets = new ArrayList<>();
+    private final List<PeerMessage> messages = new ArrayList<>();
     private RunVerdict defaultVerdict = RunVerdict.NOT_RUN;
 
     synchronized void addAnswer(QueueAnswer answer) {
       answers.add(CompletableFuture.completedFuture(answer));
     }
 
+    /** Adds an answer that the test completes. */
+    synchronized CompletableFuture<PeerMessage> addOpenAnswer() {
+      CompletableFuture<PeerMessage> open = new CompletableFuture<>();
+      answers.add(open);
+      return open;
+    }
+
+    /** Returns how often a message was sent. */
+    synchronized long sent(PeerMessage message) {
+      return messages.stream().filter(message::equals).count();
+    }
+
     synchronized void addFailure(RunVerdict verdict) {
       answers.add(
           CompletableFuture.failedFuture(
@@ -109,6 +155,7 @@
     public synchronized CompletableFuture<PeerMessage> request(
         ProcessId peer, PeerMessage message, Duration timeout) {
       targets.add(peer);
+      messages.add(message);
       return answers.isEmpty()
           ? CompletableFuture.failedFuture(
               new PeerUnreachableException(peer, defaultVerdict, "test failure"))
