Let the fake links of QueueCallsTest keep the timeout of a request

The fake left an unanswered request open for ever, so on the code before the test of resends passed and the one of a silent leader never ended (ended by hand after ten minutes).

--- a/daemon/src/test/java/org/verbenawheel/fleet/QueueCallsTest.java
+++ b/daemon/src/test/java/org/verbenawheel/fleet/QueueCallsTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.verbenawheel.gateway.QueueAnswer;
 import org.verbenawheel.gateway.QueueAnswer.Outcome;
@@ -159,7 +160,7 @@
       return answers.isEmpty()
           ? CompletableFuture.failedFuture(
               new PeerUnreachableException(peer, defaultVerdict, "test failure"))
-          : answers.remove();
+          : answers.remove().copy().orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     @Override
