End the attempts of a request once it is answered

An attempt that was already scheduled went out after a late answer had ended the call, and the next ones too while they failed: load for nothing, and a line that said that no leader had answered.

Test: answeredRequestIsNotSentAgain failed on (sent 8 times, expected 2).

--- a/daemon/src/main/java/org/verbenawheel/fleet/QueueCalls.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/QueueCalls.java
@@ -127,6 +127,9 @@
     }
 
     void attempt() {
+      if (result.isDone()) {
+        return;
+      }
       Instant now = clock.instant();
       Duration left = Duration.between(now, deadline);
       boolean leaderUnreachable =
@@ -154,7 +157,7 @@
      * requests is only slow: a second request would add to its load, and its answer still counts.
      */
     private void resendIfSilent(Attempt attempt) {
-      if (result.isDone() || !isLatest(attempt)) {
+      if (!isLatest(attempt)) {
         return;
       }
       Duration remaining = Duration.between(clock.instant(), silentAt(attempt));
--- a/daemon/src/test/java/org/verbenawheel/fleet/QueueCallsTest.java
+++ b/daemon/src/test/java/org/verbenawheel/fleet/QueueCallsTest.java
@@ -1,6 +1,7 @@
 package org.verbenawheel.fleet;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
@@ -119,6 +120,23 @@
     assertThat(unanswered.isDone()).isFalse();
   }
 
+  // A late answer ended the call while a resend was already scheduled.
+  @Test
+  void answeredRequestIsNotSentAgain() throws Exception {
+    links.addAnswer(QueueAnswer.of(Outcome.ACCEPTED));
+    calls.send(OTHER_CALL, TIMEOUT).join();
+    CompletableFuture<PeerMessage> late = links.addOpenAnswer();
+    links.addAnswer(QueueAnswer.notLeader(Optional.of(FIRST), ImmutableList.of()));
+    CompletableFuture<QueueAnswer> result = calls.send(CALL, Duration.ofSeconds(10));
+    await().pollInterval(Duration.ofMillis(2)).until(() -> links.sent(CALL) == 2);
+
+    late.complete(QueueAnswer.of(Outcome.ACCEPTED));
+    Thread.sleep(300);
+
+    assertThat(result.join().outcome()).isEqualTo(Outcome.ACCEPTED);
+    assertThat(links.sent(CALL)).isEqualTo(2);
+  }
+
   /** Returns the queued answers in order, then fails every request with the default verdict. */
   private static final class FakeLinks implements PeerLinks {
     private final Deque<CompletableFuture<PeerMessage>> answers = new ArrayDeque<>();
