Ask whether the leader may still order a host when the order leaves

Cause: the leader checks that it may decide when it decides. The order then waits for one of four connections to the platform. While the process is suspended its timers and its lease stand still; when it wakes, answers that arrived meanwhile free connections for waiting orders before any tick or timeout runs.

Fix: OrderAuthority is confirmed by each tick that may decide and expires 700 ms later by both clocks; the wall clock goes on during a suspension. The HTTP client asks it when a connection is free, and fails the order as not run otherwise. 700 ms: a later leader is elected 0.32 s after the freeze at the earliest and waits 3.5 s, so 3.1 s lie between the two. Orders to workers need nothing: workers check the fence.

--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -18,6 +18,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.verbenawheel.event.Event;
 import org.verbenawheel.event.EventLine;
@@ -101,7 +102,8 @@
         new AdviceRequests(context, factory.adviser, this::advicePolicyOf, this::requestRound);
     this.scheduler = new JobScheduler(this::poolOf, advice::permittedWorkers);
     this.evacuations = new Evacuations(context, sessions, this::isStandbyPool, this::onWorkerEnded);
-    HostCalls.OrderIssuer orderIssuer = new HostCalls.OrderIssuer(factory.process, term);
+    HostCalls.OrderIssuer orderIssuer =
+        new HostCalls.OrderIssuer(factory.process, term, factory.mayOrder);
     HostOrderRecorder orderRecorder =
         new HostOrderRecorder(
             context, factory.hostOrders, factory.sink, term, factory.moveTimings.orderLease());
@@ -151,6 +153,7 @@
    * @param waves the maintenance waves
    * @param hostOrders the recent orders for hosts
    * @param process the name of this process
+   * @param mayOrder whether this process may still give orders about hosts; thread-safe
    * @param timings intervals and timeouts of orders to workers
    * @param waveTimings intervals and durations of maintenance waves
    * @param moveTimings intervals and durations of moves of hosts
@@ -170,6 +173,7 @@
       WaveRegistry waves,
       HostOrderRegistry hostOrders,
       String process,
+      BooleanSupplier mayOrder,
       ExecutionTimings timings,
       WaveTimings waveTimings,
       MoveTimings moveTimings,
--- a/core/src/main/java/org/verbenawheel/execution/HostCalls.java
+++ b/core/src/main/java/org/verbenawheel/execution/HostCalls.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 
 /**
  * Lists the platform's hosts, and orders their maintenance and their moves. Thread-safe; never
@@ -35,8 +36,10 @@
    *
    * @param holder the name of the leading process
    * @param fencingToken the term that it leads
+   * @param mayOrder whether the process may still give orders; thread-safe, to be asked when an
+   *     order leaves, since it may have waited for a connection
    */
-  record OrderIssuer(String holder, long fencingToken) {}
+  record OrderIssuer(String holder, long fencingToken, BooleanSupplier mayOrder) {}
 
   /** The platform's answer to an order. */
   enum OrderOutcome {
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -88,6 +88,7 @@
             waves,
             hostOrders,
             "control-" + term,
+            () -> true,
             TIMINGS,
             new WaveTimings(
                 Duration.ofSeconds(2),
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -120,6 +120,7 @@
             .build();
     this.queues = new QueueService(configuration, jobs, this::commit);
     this.reports = new FleetReports(replica, jobs, workers);
+    OrderAuthority orderAuthority = new OrderAuthority(clock, System::currentTimeMillis);
     FleetLeadership.Factory leadershipFactory =
         new FleetLeadership.Factory(
             jobs,
@@ -132,6 +133,7 @@
             waves,
             hostOrders,
             settings.process().value(),
+            orderAuthority::isValid,
             settings.execution(),
             settings.waves(),
             settings.moves(),
@@ -141,7 +143,11 @@
             metrics);
     this.leaderLoop =
         new LeaderLoop(
-            replica, clock, leadershipFactory::begin, metrics.timer("state-thread.delay"));
+            replica,
+            clock,
+            leadershipFactory::begin,
+            orderAuthority,
+            metrics.timer("state-thread.delay"));
     peers.addHandler(replica);
     peers.addHandler(this);
     registerGauges();
--- a/daemon/src/main/java/org/verbenawheel/fleet/LeaderLoop.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/LeaderLoop.java
@@ -40,6 +40,7 @@
   private final ReplicaProcess replica;
   private final InstantSource clock;
   private final Function<Long, FleetLeadership> leadershipFactory;
+  private final OrderAuthority orderAuthority;
   private final Timer delayTimer;
   private final SuspensionDetector suspension;
   private @Nullable ScheduledExecutorService executor;
@@ -52,15 +53,18 @@
    *
    * @param clock a monotonic clock
    * @param leadershipFactory begins the leadership of the given term; called on the state thread
+   * @param orderAuthority confirmed on each tick of a leadership, revoked when it ends
    * @param delayTimer receives how long each tick waits for the state thread
    */
   LeaderLoop(
       ReplicaProcess replica,
       InstantSource clock,
       Function<Long, FleetLeadership> leadershipFactory,
+      OrderAuthority orderAuthority,
       Timer delayTimer) {
     this.replica = replica;
     this.clock = clock;
+    this.orderAuthority = orderAuthority;
     this.delayTimer = delayTimer;
     this.leadershipFactory = leadershipFactory;
     this.suspension = new SuspensionDetector(clock, System::currentTimeMillis);
@@ -124,6 +128,7 @@
     boolean leads = status.filter(current -> current.role() == Role.LEADER).isPresent();
     long term = status.map(ReplicaStatus::term).orElse(-1L);
     if (leadership != null && (!leads || term != leadershipTerm)) {
+      orderAuthority.revoke();
       leadership.end();
       leadership = null;
     }
@@ -134,6 +139,7 @@
     if (leadership == null || maybeSuspended) {
       confirmLeadership(term);
     } else if (!confirmationPending) {
+      orderAuthority.confirm();
       leadership.onTick();
     }
   }
--- a/daemon/src/main/java/org/verbenawheel/http/HttpCall.java
+++ b/daemon/src/main/java/org/verbenawheel/http/HttpCall.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
+import java.util.function.BooleanSupplier;
 
 /**
  * An HTTP request to send.
@@ -11,10 +12,24 @@
  * @param headers headers besides {@code Host}, {@code Content-Type} and {@code Content-Length}
  * @param body the JSON body; empty for none
  * @param timeout how long to wait for the complete answer, including the wait for a connection
+ * @param precondition asked on the event loop's thread when a connection is free; if false, the
+ *     request fails as not run instead of being sent
  */
 public record HttpCall(
     String method,
     String path,
     ImmutableMap<String, String> headers,
     String body,
-    Duration timeout) {}
+    Duration timeout,
+    BooleanSupplier precondition) {
+
+  /** Creates a request that may be sent whenever a connection is free. */
+  public HttpCall(
+      String method,
+      String path,
+      ImmutableMap<String, String> headers,
+      String body,
+      Duration timeout) {
+    this(method, path, headers, body, timeout, () -> true);
+  }
+}
--- a/daemon/src/main/java/org/verbenawheel/http/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/verbenawheel/http/ServerConnectionPool.java
@@ -65,6 +65,12 @@
 
   private void sendWaiting() {
     while (!waiting.isEmpty() && !idle.isEmpty()) {
+      if (!waiting.getFirst().call.precondition().getAsBoolean()) {
+        waiting
+            .removeFirst()
+            .fail(RunVerdict.NOT_RUN, address + ": not sent, its precondition no longer holds");
+        continue;
+      }
       Channel channel = idle.removeLast();
       if (channel.isActive()) {
         write(channel, waiting.removeFirst());
