--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -3,19 +3,15 @@
 import static com.google.common.collect.ImmutableSet.toImmutableSet;
 
 import com.codahale.metrics.MetricRegistry;
-import com.codahale.metrics.Timer;
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.flogger.FluentLogger;
-import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
@@ -24,19 +20,15 @@
 import org.verbenawheel.event.EventLine;
 import org.verbenawheel.host.HostOrderRegistry;
 import org.verbenawheel.job.Job;
-import org.verbenawheel.job.JobCommands.RecordStarts;
 import org.verbenawheel.job.JobCommands.RunEnd;
-import org.verbenawheel.job.JobCommands.RunStart;
 import org.verbenawheel.job.JobRegistry;
 import org.verbenawheel.job.RunEnding;
 import org.verbenawheel.job.Task;
-import org.verbenawheel.job.TaskId;
 import org.verbenawheel.queue.AdvicePolicy;
 import org.verbenawheel.queue.FleetConfigurationState;
 import org.verbenawheel.queue.QueueRoute;
 import org.verbenawheel.scheduling.FreeCapacity;
 import org.verbenawheel.scheduling.JobScheduler;
-import org.verbenawheel.scheduling.SchedulingResult;
 import org.verbenawheel.wave.UpkeepPhase;
 import org.verbenawheel.wave.WaveRegistry;
 import org.verbenawheel.worker.Worker;
@@ -56,15 +48,8 @@
    */
   private static final long FENCING_TOKENS_PER_TERM = 1L << 16;
 
-  /** Callers notice a round of this length, since their calls wait for the same thread. */
-  private static final Duration SLOW_ROUND = Duration.ofMillis(50);
-
   private final FleetContext context;
   private final FleetConfigurationState configuration;
-  private final CommandSink sink;
-  private final LongSupplier timeOfDayMilliseconds;
-  private final JobScheduler scheduler;
-  private final Timer roundTimer;
   private final AdviceRequests advice;
   private final Map<String, WorkerSession> sessions = new LinkedHashMap<>();
   private final WorkerRoster roster;
@@ -72,18 +57,10 @@
   private final WaveController waves;
   private final WaveRegistry waveRegistry;
   private final HostMover hostMover;
-  private ImmutableMap<String, Long> shortages = ImmutableMap.of();
-  private ImmutableSet<String> workersBeingBound = ImmutableSet.of();
-  private final RoundPacer pacer = new RoundPacer();
-  private boolean bindingInFlight;
-  private boolean roundRequested;
-  private boolean ended;
+  private final SchedulingRounds rounds;
 
   private FleetLeadership(Factory factory, long term) {
-    this.sink = factory.sink;
     this.configuration = factory.configuration;
-    this.timeOfDayMilliseconds = factory.timeOfDayMilliseconds;
-    this.roundTimer = factory.metrics.timer("scheduling.round");
     this.context =
         new FleetContext(
             factory.jobRegistry,
@@ -100,7 +77,17 @@
         new WorkerRoster(context, factory.registry, factory.sink, sessions, this::requestRound);
     this.advice =
         new AdviceRequests(context, factory.adviser, this::advicePolicyOf, this::requestRound);
-    this.scheduler = new JobScheduler(this::poolOf, advice::permittedWorkers);
+    this.rounds =
+        new SchedulingRounds(
+            context,
+            factory.configuration,
+            factory.sink,
+            new JobScheduler(this::poolOf, advice::permittedWorkers),
+            this::schedulableCapacities,
+            sessions,
+            advice,
+            factory.timeOfDayMilliseconds,
+            factory.metrics.timer("scheduling.round"));
     this.evacuations = new Evacuations(context, sessions, this::isStandbyPool, this::onWorkerEnded);
     HostCalls.OrderIssuer orderIssuer =
         new HostCalls.OrderIssuer(factory.process, term, factory.mayOrder);
@@ -206,12 +193,12 @@
     }
     releaseRunsOfForgottenWorkers();
     waves.onTick(now);
-    roundRequested = true;
-    runRequestedRound();
+    rounds.runIfAllowed();
     advice.askNext(job -> usableWorkers(poolOf(job), now));
     hostMover.onTick(
         now,
-        new HostMover.FleetView(shortages, hostsInMaintenance(), worker -> isUsable(worker, now)));
+        new HostMover.FleetView(
+            rounds.shortages(), hostsInMaintenance(), worker -> isUsable(worker, now)));
   }
 
   private ImmutableSet<String> hostsInMaintenance() {
@@ -247,81 +234,16 @@
 
   /** Ends the leadership; no task is bound or started any more. */
   public void end() {
-    ended = true;
+    rounds.end();
     logger.atInfo().log("%s", EventLine.of(Event.FLEET_COMMAND).with("commands", false));
   }
 
-  /**
-   * Requests that waiting tasks are bound to workers. The round runs after the tasks that wait for
-   * the state thread, so that all requests until then share it; not before a binding in flight is
-   * committed, and at the latest on the next tick that the pacer allows.
-   */
+  /** Requests that waiting tasks are bound to workers; see {@link SchedulingRounds#request}. */
   public void requestRound() {
-    if (!roundRequested) {
-      roundRequested = true;
-      context.stateThread().execute(this::runRequestedRound);
-    }
-  }
-
-  private void runRequestedRound() {
-    if (roundRequested && !ended && !bindingInFlight && pacer.isDue(context.now())) {
-      roundRequested = false;
-      runRound();
-    }
-  }
-
-  private void runRound() {
-    if (context.jobRegistry().active().stream().noneMatch(Job::hasWaitingTask)) {
-      shortages = ImmutableMap.of();
-      return;
-    }
-    Instant now = context.now();
-    SchedulingResult decision =
-        scheduler.decide(
-            context.jobRegistry().active(),
-            schedulableRooms(now),
-            now,
-            timeOfDayMilliseconds.getAsLong());
-    Instant end = context.now();
-    pacer.onRound(now, end);
-    recordRound(Duration.between(now, end), decision);
-    shortages = decision.shortages();
-    ImmutableList<RunStart> starts = decision.starts();
-    if (starts.isEmpty()) {
-      return;
-    }
-    bindingInFlight = true;
-    workersBeingBound = starts.stream().map(RunStart::worker).collect(toImmutableSet());
-    for (RunStart start : starts) {
-      TaskId.parse(start.task())
-          .ifPresent(task -> requireSession(start.worker()).orders().onBinding(task, start.run()));
-    }
-    context.whenDone(
-        sink.commit(new RecordStarts(starts)),
-        (reply, failure) -> onBound(starts, failure == null));
+    rounds.request();
   }
 
-  private void recordRound(Duration duration, SchedulingResult decision) {
-    roundTimer.update(duration);
-    if (duration.compareTo(SLOW_ROUND) < 0) {
-      return;
-    }
-    logger.atWarning().log(
-        "%s",
-        EventLine.of(Event.SCHEDULING_SLOW)
-            .with("milliseconds", duration.toMillis())
-            .with("jobs", context.jobRegistry().active().size())
-            .with("workers", sessions.size())
-            .with("queues", configuration.current().map(found -> found.queues().size()).orElse(0))
-            .with("starts", decision.starts().size()));
-  }
-
-  private WorkerSession requireSession(String worker) {
-    return Objects.requireNonNull(
-        sessions.get(worker), "the scheduler chose a worker without a session");
-  }
-
-  private List<FreeCapacity> schedulableRooms(Instant now) {
+  private List<FreeCapacity> schedulableCapacities(Instant now) {
     List<FreeCapacity> capacities = new ArrayList<>();
     for (WorkerSession session : sessions.values()) {
       boolean staysInPool =
@@ -340,45 +262,6 @@
     return capacities;
   }
 
-  private void onBound(ImmutableList<RunStart> starts, boolean committed) {
-    bindingInFlight = false;
-    workersBeingBound = ImmutableSet.of();
-    if (ended) {
-      return;
-    }
-    if (committed) {
-      starts.forEach(this::startRun);
-    }
-    runRequestedRound();
-  }
-
-  private void startRun(RunStart start) {
-    TaskId id = TaskId.parse(start.task()).orElseThrow();
-    Optional<Task> task =
-        context
-            .jobRegistry()
-            .find(id)
-            .filter(
-                found ->
-                    found.run() == start.run()
-                        && found.worker().filter(start.worker()::equals).isPresent());
-    WorkerSession session = sessions.get(start.worker());
-    if (session == null) {
-      return;
-    }
-    if (task.isEmpty()) {
-      session.orders().onNotBound(id);
-      return;
-    }
-    logger.atInfo().log(
-        "%s",
-        EventLine.of(Event.RUN_BOUND)
-            .with("task", start.task())
-            .with("run", start.run())
-            .with("worker", start.worker()));
-    session.orders().start(task.get(), advice.ticket(task.get(), session.worker()));
-  }
-
   private boolean isMoving(String host) {
     return hostMover.isMoving(host);
   }
@@ -389,7 +272,7 @@
     return session != null
         && session.takesTasks(now)
         && !evacuations.isCordoned(worker.id())
-        && !workersBeingBound.contains(worker.id());
+        && !rounds.isBeingBound(worker.id());
   }
 
   private boolean isStandbyPool(String pool) {
--- /dev/null
+++ b/core/src/test/java/org/verbenawheel/execution/FakeHosts.java
@@ -0,0 +1,89 @@
+package org.verbenawheel.execution;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** A platform that carries out orders at once. */
+final class FakeHosts implements HostCalls {
+  private final Map<String, FakeWorker> workers;
+  private final List<String> runningAtMaintenance = new ArrayList<>();
+  private final Map<String, Host> hosts = new LinkedHashMap<>();
+  private final List<String> maintained = new ArrayList<>();
+  private OrderOutcome moveOutcome = OrderOutcome.DONE;
+  private OrderOutcome maintenanceOutcome = OrderOutcome.DONE;
+  private int moveOrders;
+
+  /**
+   * Creates a platform without hosts.
+   *
+   * @param workers the workers by id; later additions count
+   */
+  FakeHosts(Map<String, FakeWorker> workers) {
+    this.workers = workers;
+  }
+
+  void add(Host host) {
+    hosts.put(host.name(), host);
+  }
+
+  ImmutableList<String> maintained() {
+    return ImmutableList.copyOf(maintained);
+  }
+
+  ImmutableMap<String, String> pools() {
+    ImmutableMap.Builder<String, String> pools = ImmutableMap.builder();
+    hosts.forEach((name, host) -> pools.put(name, host.pool()));
+    return pools.buildOrThrow();
+  }
+
+  @Override
+  public CompletableFuture<ImmutableList<Host>> list() {
+    return CompletableFuture.completedFuture(ImmutableList.copyOf(hosts.values()));
+  }
+
+  @Override
+  public CompletableFuture<OrderOutcome> maintain(String host, long wave, OrderIssuer orderIssuer) {
+    if (maintenanceOutcome == OrderOutcome.DONE) {
+      maintained.add(host);
+      Optional.ofNullable(hosts.get(host))
+          .flatMap(Host::worker)
+          .map(workers::get)
+          .ifPresent(worker -> runningAtMaintenance.addAll(worker.running()));
+    }
+    return CompletableFuture.completedFuture(maintenanceOutcome);
+  }
+
+  /** Returns the runs that were in progress on hosts when they went down. */
+  ImmutableList<String> runningAtMaintenance() {
+    return ImmutableList.copyOf(runningAtMaintenance);
+  }
+
+  /** Sets the outcome of all later maintenance orders. */
+  void answerMaintenance(OrderOutcome outcome) {
+    maintenanceOutcome = outcome;
+  }
+
+  /** Sets the outcome of all later orders to move a host. */
+  void refuseMoves(OrderOutcome outcome) {
+    moveOutcome = outcome;
+  }
+
+  int moveOrders() {
+    return moveOrders;
+  }
+
+  @Override
+  public CompletableFuture<OrderOutcome> move(String host, String pool, OrderIssuer orderIssuer) {
+    moveOrders++;
+    if (moveOutcome == OrderOutcome.DONE) {
+      hosts.put(host, new Host(host, pool, HostState.UP, Optional.empty()));
+    }
+    return CompletableFuture.completedFuture(moveOutcome);
+  }
+}
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -2,20 +2,17 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.verbenawheel.host.HostOrderRegistry;
 import org.verbenawheel.job.JobCommands.AcceptJob;
@@ -61,9 +58,9 @@
   private final FleetConfigurationState configuration = new FleetConfigurationState();
   private final WaveRegistry waves = new WaveRegistry();
   private final HostOrderRegistry hostOrders = new HostOrderRegistry();
-  private final FakeHosts hosts = new FakeHosts();
-  private final FakeAdviser adviser = new FakeAdviser();
   private final Map<String, FakeWorker> workers = new LinkedHashMap<>();
+  private final FakeHosts hosts = new FakeHosts(workers);
+  private final FakeAdviser adviser = new FakeAdviser();
   private final Deque<Runnable> stateThreadTasks = new ArrayDeque<>();
   private final List<Runnable> heldCommits = new ArrayList<>();
   private final List<String> startedTwice = new ArrayList<>();
@@ -315,128 +312,4 @@
     @Override
     public void disconnect(String workerId) {}
   }
-
-  /** A placement adviser whose answers the test triggers. */
-  static final class FakeAdviser implements PlacementAdviser {
-    private final List<String> questions = new ArrayList<>();
-    private final Set<String> allowed = new HashSet<>();
-    private Optional<CompletableFuture<ImmutableMap<String, String>>> openQuestion =
-        Optional.empty();
-    private ImmutableList<String> lastAskedWorkers = ImmutableList.of();
-    private String openStep = "";
-
-    void allow(String worker) {
-      allowed.add(worker);
-    }
-
-    ImmutableList<String> questions() {
-      return ImmutableList.copyOf(questions);
-    }
-
-    ImmutableList<String> lastAskedWorkers() {
-      return lastAskedWorkers;
-    }
-
-    /** Answers the open question; the ticket names the step and the worker. */
-    void answer() {
-      ImmutableMap.Builder<String, String> tickets = ImmutableMap.builder();
-      lastAskedWorkers.stream()
-          .filter(allowed::contains)
-          .forEach(worker -> tickets.put(worker, openStep + "@" + worker));
-      CompletableFuture<ImmutableMap<String, String>> question = openQuestion.orElseThrow();
-      openQuestion = Optional.empty();
-      question.complete(tickets.buildOrThrow());
-    }
-
-    /** Fails the open question. */
-    void fail() {
-      CompletableFuture<ImmutableMap<String, String>> question = openQuestion.orElseThrow();
-      openQuestion = Optional.empty();
-      question.completeExceptionally(new IllegalStateException("the adviser is busy"));
-    }
-
-    @Override
-    public CompletableFuture<ImmutableMap<String, String>> approve(
-        String step, ImmutableList<String> workers, Duration timeout) {
-      if (openQuestion.isPresent()) {
-        throw new IllegalStateException("a second question while one is open: " + step);
-      }
-      questions.add(step);
-      lastAskedWorkers = workers;
-      openStep = step;
-      CompletableFuture<ImmutableMap<String, String>> question = new CompletableFuture<>();
-      openQuestion = Optional.of(question);
-      return question;
-    }
-  }
-
-  /** A platform that carries out orders at once. */
-  final class FakeHosts implements HostCalls {
-    private final List<String> runningAtMaintenance = new ArrayList<>();
-    private final Map<String, Host> hosts = new LinkedHashMap<>();
-    private final List<String> maintained = new ArrayList<>();
-    private OrderOutcome moveOutcome = OrderOutcome.DONE;
-    private OrderOutcome maintenanceOutcome = OrderOutcome.DONE;
-    private int moveOrders;
-
-    void add(Host host) {
-      hosts.put(host.name(), host);
-    }
-
-    ImmutableList<String> maintained() {
-      return ImmutableList.copyOf(maintained);
-    }
-
-    ImmutableMap<String, String> pools() {
-      ImmutableMap.Builder<String, String> pools = ImmutableMap.builder();
-      hosts.forEach((name, host) -> pools.put(name, host.pool()));
-      return pools.buildOrThrow();
-    }
-
-    @Override
-    public CompletableFuture<ImmutableList<Host>> list() {
-      return CompletableFuture.completedFuture(ImmutableList.copyOf(hosts.values()));
-    }
-
-    @Override
-    public CompletableFuture<OrderOutcome> maintain(
-        String host, long wave, OrderIssuer orderIssuer) {
-      if (maintenanceOutcome == OrderOutcome.DONE) {
-        maintained.add(host);
-        Optional.ofNullable(hosts.get(host))
-            .flatMap(Host::worker)
-            .map(workers::get)
-            .ifPresent(worker -> runningAtMaintenance.addAll(worker.running()));
-      }
-      return CompletableFuture.completedFuture(maintenanceOutcome);
-    }
-
-    /** Returns the runs that were in progress on hosts when they went down. */
-    ImmutableList<String> runningAtMaintenance() {
-      return ImmutableList.copyOf(runningAtMaintenance);
-    }
-
-    /** Sets the outcome of all later maintenance orders. */
-    void answerMaintenance(OrderOutcome outcome) {
-      maintenanceOutcome = outcome;
-    }
-
-    /** Sets the outcome of all later orders to move a host. */
-    void refuseMoves(OrderOutcome outcome) {
-      moveOutcome = outcome;
-    }
-
-    int moveOrders() {
-      return moveOrders;
-    }
-
-    @Override
-    public CompletableFuture<OrderOutcome> move(String host, String pool, OrderIssuer orderIssuer) {
-      moveOrders++;
-      if (moveOutcome == OrderOutcome.DONE) {
-        hosts.put(host, new Host(host, pool, HostState.UP, Optional.empty()));
-      }
-      return CompletableFuture.completedFuture(moveOutcome);
-    }
-  }
 }
--- a/daemon/src/test/java/org/verbenawheel/fleet/QueueCallsTest.java
+++ b/daemon/src/test/java/org/verbenawheel/fleet/QueueCallsTest.java
@@ -94,7 +94,7 @@
   void requestIsNotSentAgainToALeaderThatAnswersOthers() throws Exception {
     CompletableFuture<PeerMessage> slow = links.addOpenAnswer();
     CompletableFuture<QueueAnswer> result = calls.send(CALL, Duration.ofSeconds(30));
-    // FIRST answers other requests, every 200 ms.
+    // QueueCalls measures silence on the real clock: FIRST answers another request each 200 ms.
     for (int other = 0; other < 10; other++) {
       links.addAnswer(QueueAnswer.notLeader(Optional.of(FIRST), ImmutableList.of()));
       links.addAnswer(QueueAnswer.of(Outcome.ACCEPTED));
@@ -131,6 +131,7 @@
     await().pollInterval(Duration.ofMillis(2)).until(() -> links.sent(CALL) == 2);
 
     late.complete(QueueAnswer.of(Outcome.ACCEPTED));
+    // A resend would leave 60 ms later.
     Thread.sleep(300);
 
     assertThat(result.join().outcome()).isEqualTo(Outcome.ACCEPTED);
