Keep a worker that ended away when a late report of it arrives

Callers' tasks were bound to a worker that had left. Cause: its end removed it from the registry and nothing remembered the end, so a report that a cut had delayed registered it again, at a later leader too. Ruled out: the sequence of reports (it is dropped with the worker, and starts anew with each leader). The same holds for workers of hosts that were moved or taken down as ordered.

--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -280,7 +280,7 @@
   }
 
   private void onWorkerEnded(String id) {
-    roster.forgetInBackground(id, "its host went down or moved as ordered");
+    roster.endInBackground(id, "its host went down or moved as ordered");
   }
 
   private List<Worker> usableWorkers(String pool, Instant now) {
--- a/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
@@ -9,7 +9,9 @@
 import org.jspecify.annotations.Nullable;
 import org.verbenawheel.event.Event;
 import org.verbenawheel.event.EventLine;
+import org.verbenawheel.replication.ControlCommand;
 import org.verbenawheel.worker.Worker;
+import org.verbenawheel.worker.WorkerCommands.EndWorker;
 import org.verbenawheel.worker.WorkerCommands.ForgetWorker;
 import org.verbenawheel.worker.WorkerCommands.RecordWorker;
 import org.verbenawheel.worker.WorkerRegistry;
@@ -28,6 +30,9 @@
   private final Runnable onWorkersChanged;
   private final Map<String, Long> lastReportSequence = new HashMap<>();
 
+  /** Incarnations that ended in this leadership, whose ends may not be committed yet. */
+  private final Map<String, Long> endedIncarnations = new HashMap<>();
+
   WorkerRoster(
       FleetContext context,
       WorkerRegistry registry,
@@ -43,8 +48,8 @@
   }
 
   /**
-   * Records a worker's report. Ignores a report that arrives after a newer one, or after a newer
-   * worker has reported the same host or address.
+   * Records a worker's report. Ignores a report that arrives after a newer one, after the worker's
+   * end, or after a newer worker has reported the same host or address.
    *
    * @param reported the worker as it described itself
    * @param sequence number of the report, rising within one incarnation of the worker
@@ -54,7 +59,9 @@
   public CompletableFuture<?> onReport(
       Worker reported, long sequence, Optional<Long> clockMilliseconds) {
     Optional<Worker> registered = registry.find(reported.id());
-    if (isOutdated(reported, sequence, registered) || isSuperseded(reported)) {
+    if (hasEnded(reported)
+        || isOutdated(reported, sequence, registered)
+        || isSuperseded(reported)) {
       return CompletableFuture.completedFuture(null);
     }
     lastReportSequence.put(reported.id(), sequence);
@@ -92,6 +99,12 @@
         : failure;
   }
 
+  private boolean hasEnded(Worker reported) {
+    Long endedIncarnation = endedIncarnations.get(reported.id());
+    return registry.hasEnded(reported)
+        || (endedIncarnation != null && reported.bornAtMilliseconds() <= endedIncarnation);
+  }
+
   private boolean isOutdated(Worker reported, long sequence, Optional<Worker> registered) {
     if (registered.isEmpty()
         || reported.bornAtMilliseconds() > registered.get().bornAtMilliseconds()) {
@@ -136,11 +149,11 @@
   }
 
   /**
-   * Forgets a worker that announced its end.
+   * Removes a worker that announced its end.
    *
    * @param id the worker
    * @param bornAtMilliseconds the incarnation that ends; empty for the registered one
-   * @return completes once the worker is forgotten
+   * @return completes once the end is committed
    */
   public CompletableFuture<?> onLeave(String id, Optional<Long> bornAtMilliseconds) {
     Optional<Worker> leaving =
@@ -152,19 +165,24 @@
                         .filter(born -> born != registered.bornAtMilliseconds())
                         .isEmpty());
     return leaving
-        .<CompletableFuture<?>>map(worker -> forget(worker, "it announced its end"))
+        .<CompletableFuture<?>>map(worker -> end(worker, "it announced its end"))
         .orElseGet(() -> CompletableFuture.completedFuture(null));
   }
 
-  /** Forgets a worker if it is registered; a failure is only logged. */
-  void forgetInBackground(String id, String reason) {
-    registry.find(id).ifPresent(worker -> forgetInBackground(worker, reason));
+  /** Removes a worker that has ended, if it is registered; a failure is only logged. */
+  void endInBackground(String id, String reason) {
+    registry.find(id).ifPresent(worker -> logFailure(worker, end(worker, reason)));
   }
 
   /** Forgets a worker; a failure is only logged. */
   void forgetInBackground(Worker worker, String reason) {
+    ForgetWorker command = new ForgetWorker(worker.id(), worker.bornAtMilliseconds());
+    logFailure(worker, remove(worker, command, reason));
+  }
+
+  private void logFailure(Worker worker, CompletableFuture<?> removal) {
     context.whenDone(
-        forget(worker, reason),
+        removal,
         (reply, failure) -> {
           if (failure != null) {
             logger.atWarning().withCause(failure).log(
@@ -173,7 +191,12 @@
         });
   }
 
-  private CompletableFuture<?> forget(Worker worker, String reason) {
+  private CompletableFuture<?> end(Worker worker, String reason) {
+    endedIncarnations.put(worker.id(), worker.bornAtMilliseconds());
+    return remove(worker, new EndWorker(worker.id(), worker.bornAtMilliseconds()), reason);
+  }
+
+  private CompletableFuture<?> remove(Worker worker, ControlCommand command, String reason) {
     WorkerSession session = sessions.remove(worker.id());
     if (session != null) {
       session.releaseAll(context.jobRegistry().boundTo(worker.id()).asList(), reason);
@@ -184,6 +207,6 @@
     logger.atInfo().log(
         "%s",
         EventLine.of(Event.WORKER_FORGOTTEN).with("worker", worker.id()).with("reason", reason));
-    return sink.commit(new ForgetWorker(worker.id(), worker.bornAtMilliseconds()));
+    return sink.commit(command);
   }
 }
--- a/core/src/main/java/org/verbenawheel/gateway/GatewayMessages.java
+++ b/core/src/main/java/org/verbenawheel/gateway/GatewayMessages.java
@@ -27,6 +27,7 @@
           .add(620, WorkerCommands.RecordWorker.class)
           .add(621, WorkerCommands.ForgetWorker.class)
           .add(622, WorkerCommands.WorkersChanged.class)
+          .add(623, WorkerCommands.EndWorker.class)
           .add(630, InstallConfiguration.class)
           .add(631, ConfigurationInstalled.class)
           .add(640, WaveCommands.StartWave.class)
--- a/core/src/main/java/org/verbenawheel/worker/WorkerCommands.java
+++ b/core/src/main/java/org/verbenawheel/worker/WorkerCommands.java
@@ -15,7 +15,8 @@
   public record RecordWorker(Worker worker) implements ControlCommand {}
 
   /**
-   * Removes a worker that has ended, unless it has started again since.
+   * Removes a worker that may have ended, unless it has started again since. A later report adds it
+   * again.
    *
    * @param id the worker's id
    * @param bornAtMilliseconds the start of the incarnation that ended, in milliseconds since 1970
@@ -23,6 +24,15 @@
    */
   public record ForgetWorker(String id, long bornAtMilliseconds) implements ControlCommand {}
 
-  /** Replies to both commands. */
+  /**
+   * Removes a worker that is known to have ended, and rejects late reports of that incarnation.
+   *
+   * @param id the worker's id
+   * @param bornAtMilliseconds the start of the incarnation that ended, in milliseconds since 1970
+   *     by the worker's clock
+   */
+  public record EndWorker(String id, long bornAtMilliseconds) implements ControlCommand {}
+
+  /** Replies to all commands. */
   public record WorkersChanged() implements CommandReply {}
 }
--- a/core/src/main/java/org/verbenawheel/worker/WorkerRegistry.java
+++ b/core/src/main/java/org/verbenawheel/worker/WorkerRegistry.java
@@ -3,9 +3,12 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 import org.verbenawheel.codec.MalformedMessageException;
 import org.verbenawheel.codec.MessageCodec;
 import org.verbenawheel.peer.MessageKinds;
@@ -15,17 +18,22 @@
 import org.verbenawheel.replication.ControlCommand;
 import org.verbenawheel.replication.DamagedSnapshotException;
 import org.verbenawheel.replication.StatePart;
+import org.verbenawheel.worker.WorkerCommands.EndWorker;
 import org.verbenawheel.worker.WorkerCommands.ForgetWorker;
 import org.verbenawheel.worker.WorkerCommands.RecordWorker;
 import org.verbenawheel.worker.WorkerCommands.WorkersChanged;
 
 /** Holds the workers in the replicated state, so a new leader can send commands to them at once. */
 public final class WorkerRegistry implements StatePart {
+  /** How long the end of a worker is kept: much longer than a report can be delayed. */
+  private static final Duration ENDED_RETENTION = Duration.ofMinutes(10);
+
   private static final int SNAPSHOT_KIND = 1;
 
   private final MessageCodec codec =
       new MessageCodec(MessageKinds.builder().add(SNAPSHOT_KIND, WorkersSnapshot.class).build());
   private final Map<String, Worker> workers = new LinkedHashMap<>();
+  private final Map<String, EndedWorker> ended = new LinkedHashMap<>();
 
   /** Returns the worker with an id, or empty if none is registered. */
   public Optional<Worker> find(String id) {
@@ -37,6 +45,12 @@
     return ImmutableList.copyOf(workers.values());
   }
 
+  /** Returns whether a report describes an incarnation that is known to have ended. */
+  public boolean hasEnded(Worker reported) {
+    EndedWorker end = ended.get(reported.id());
+    return end != null && reported.bornAtMilliseconds() <= end.bornAtMilliseconds();
+  }
+
   @Override
   public String name() {
     return "workers";
@@ -44,7 +58,7 @@
 
   @Override
   public ImmutableSet<Class<? extends ControlCommand>> commandKinds() {
-    return ImmutableSet.of(RecordWorker.class, ForgetWorker.class);
+    return ImmutableSet.of(RecordWorker.class, ForgetWorker.class, EndWorker.class);
   }
 
   @Override
@@ -52,30 +66,50 @@
     if (command instanceof RecordWorker recorded) {
       putIfNotOlder(recorded.worker());
     } else if (command instanceof ForgetWorker forgotten) {
-      find(forgotten.id())
-          .filter(current -> current.bornAtMilliseconds() <= forgotten.bornAtMilliseconds())
-          .ifPresent(current -> workers.remove(current.id()));
+      remove(forgotten.id(), forgotten.bornAtMilliseconds());
+    } else if (command instanceof EndWorker end) {
+      remove(end.id(), end.bornAtMilliseconds());
+      recordEnd(new EndedWorker(end.id(), end.bornAtMilliseconds(), context.stateTime()));
     }
     return new WorkersChanged();
   }
 
+  private void remove(String id, long bornAtMilliseconds) {
+    find(id)
+        .filter(current -> current.bornAtMilliseconds() <= bornAtMilliseconds)
+        .ifPresent(current -> workers.remove(current.id()));
+  }
+
+  private void recordEnd(EndedWorker end) {
+    Instant oldest = end.endedAt().minus(ENDED_RETENTION);
+    ended.values().removeIf(earlier -> earlier.endedAt().isBefore(oldest));
+    ended.merge(
+        end.id(),
+        end,
+        (known, added) -> known.bornAtMilliseconds() > added.bornAtMilliseconds() ? known : added);
+  }
+
   private void putIfNotOlder(Worker worker) {
     Worker current = workers.get(worker.id());
-    if (current == null || current.bornAtMilliseconds() <= worker.bornAtMilliseconds()) {
+    boolean older = current != null && current.bornAtMilliseconds() > worker.bornAtMilliseconds();
+    if (!older && !hasEnded(worker)) {
       workers.put(worker.id(), worker);
     }
   }
 
   @Override
   public byte[] snapshot() {
-    return codec.encode(new WorkersSnapshot(all()));
+    return codec.encode(new WorkersSnapshot(all(), ImmutableList.copyOf(ended.values())));
   }
 
   @Override
   public void restore(byte[] snapshot) throws DamagedSnapshotException {
     workers.clear();
+    ended.clear();
     try {
-      ((WorkersSnapshot) codec.decode(snapshot)).workers().forEach(this::putIfNotOlder);
+      WorkersSnapshot restored = (WorkersSnapshot) codec.decode(snapshot);
+      restored.ended().forEach(end -> ended.put(end.id(), end));
+      restored.workers().forEach(this::putIfNotOlder);
     } catch (MalformedMessageException malformed) {
       throw new DamagedSnapshotException(
           "the workers in the snapshot cannot be read; replace this replica", malformed);
@@ -87,6 +121,27 @@
     return ImmutableMap.copyOf(workers);
   }
 
-  /** All registered workers, as stored in a snapshot. */
-  record WorkersSnapshot(ImmutableList<Worker> workers) implements PeerMessage {}
+  /**
+   * The form of this part in a snapshot.
+   *
+   * @param workers all registered workers
+   * @param ended the workers that ended recently; absent in snapshots of earlier versions
+   */
+  record WorkersSnapshot(ImmutableList<Worker> workers, @Nullable ImmutableList<EndedWorker> ended)
+      implements PeerMessage {
+    @Override
+    public ImmutableList<EndedWorker> ended() {
+      return ended == null ? ImmutableList.of() : ended;
+    }
+  }
+
+  /**
+   * An incarnation of a worker that has ended.
+   *
+   * @param id the worker's id
+   * @param bornAtMilliseconds the start of the incarnation, in milliseconds since 1970 by the
+   *     worker's clock
+   * @param endedAt when the end was recorded, by the clock of the leader at that time
+   */
+  record EndedWorker(String id, long bornAtMilliseconds, Instant endedAt) {}
 }
--- a/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
@@ -177,6 +177,51 @@
     assertThat(harness.worker("w2").running()).containsExactly("a.0.0.0/2");
   }
 
+  @Test
+  void lateReportOfAWorkerThatLeftIsIgnored() {
+    harness.report("w1");
+    harness.leave("w1");
+
+    harness.report("w1");
+
+    assertThat(harness.isRegistered("w1")).isFalse();
+  }
+
+  @Test
+  void lateReportOfAWorkerThatLeftIsIgnoredByANewLeader() {
+    harness.report("w1");
+    harness.leave("w1");
+    harness.changeLeader();
+
+    harness.report("w1");
+
+    assertThat(harness.isRegistered("w1")).isFalse();
+  }
+
+  @Test
+  void workerThatLeftMayReturnInANewIncarnation() {
+    harness.report("w1");
+    harness.leave("w1");
+
+    harness.worker("w1").restart();
+    harness.report("w1");
+
+    assertThat(harness.isRegistered("w1")).isTrue();
+  }
+
+  @Test
+  void workerThatTheLeaderForgotForItsSilenceMayReportAgain() {
+    harness.report("w1");
+    harness.worker("w1").setUnreachable(true);
+    harness.advance(Duration.ofMinutes(6));
+    assertThat(harness.isRegistered("w1")).isFalse();
+
+    harness.worker("w1").setUnreachable(false);
+    harness.report("w1");
+
+    assertThat(harness.isRegistered("w1")).isTrue();
+  }
+
   @Test
   void workerThatFailsTasksOfSeveralJobsIsQuarantined() {
     harness.report("w1");
