--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -74,7 +74,13 @@
             term * FENCING_TOKENS_PER_TERM,
             factory.clock.instant());
     this.roster =
-        new WorkerRoster(context, factory.registry, factory.sink, sessions, this::requestRound);
+        new WorkerRoster(
+            context,
+            factory.registry,
+            factory.sink,
+            sessions,
+            this::requestRound,
+            factory.timeOfDayMilliseconds);
     this.advice =
         new AdviceRequests(context, factory.adviser, this::advicePolicyOf, this::requestRound);
     this.rounds =
--- a/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
@@ -1,10 +1,13 @@
 package org.verbenawheel.execution;
 
 import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.verbenawheel.event.Event;
@@ -23,11 +26,15 @@
 public final class WorkerRoster {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** The wall clocks of sound processes differ by seconds, even while some of them jump. */
+  private static final Duration FUTURE_TOLERANCE = Duration.ofHours(1);
+
   private final FleetContext context;
   private final WorkerRegistry registry;
   private final CommandSink sink;
   private final Map<String, WorkerSession> sessions;
   private final Runnable onWorkersChanged;
+  private final LongSupplier timeOfDayMilliseconds;
   private final Map<String, Long> lastReportSequence = new HashMap<>();
 
   /** Incarnations that ended in this leadership, whose ends may not be committed yet. */
@@ -38,18 +45,21 @@
       WorkerRegistry registry,
       CommandSink sink,
       Map<String, WorkerSession> sessions,
-      Runnable onWorkersChanged) {
+      Runnable onWorkersChanged,
+      LongSupplier timeOfDayMilliseconds) {
     this.context = context;
     this.registry = registry;
     this.sink = sink;
     this.sessions = sessions;
     this.onWorkersChanged = onWorkersChanged;
+    this.timeOfDayMilliseconds = timeOfDayMilliseconds;
     registry.all().forEach(worker -> sessions.put(worker.id(), new WorkerSession(context, worker)));
   }
 
   /**
    * Records a worker's report. Ignores a report that arrives after a newer one, after the worker's
-   * end, or after a newer worker has reported the same host or address.
+   * end, or after a newer worker has reported the same host or address. Ignores one from the far
+   * future too, since it would replace the present worker for good.
    *
    * @param reported the worker as it described itself
    * @param sequence number of the report, rising within one incarnation of the worker
@@ -59,7 +69,8 @@
   public CompletableFuture<?> onReport(
       Worker reported, long sequence, Optional<Long> clockMilliseconds) {
     Optional<Worker> registered = registry.find(reported.id());
-    if (hasEnded(reported)
+    if (isFromTheFuture(reported)
+        || hasEnded(reported)
         || isOutdated(reported, sequence, registered)
         || isSuperseded(reported)) {
       return CompletableFuture.completedFuture(null);
@@ -99,6 +110,20 @@
         : failure;
   }
 
+  private boolean isFromTheFuture(Worker reported) {
+    long latest = timeOfDayMilliseconds.getAsLong() + FUTURE_TOLERANCE.toMillis();
+    if (reported.bornAtMilliseconds() <= latest) {
+      return false;
+    }
+    logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+        "%s",
+        EventLine.of(Event.MESSAGE_REJECTED)
+            .with("what", "report of " + reported.id())
+            .with("problem", "its start lies more than an hour ahead of this process's clock")
+            .with("born", reported.bornAtMilliseconds()));
+    return true;
+  }
+
   private boolean hasEnded(Worker reported) {
     Long endedIncarnation = endedIncarnations.get(reported.id());
     return registry.hasEnded(reported)
--- a/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
@@ -209,6 +209,19 @@
     assertThat(harness.isRegistered("w1")).isTrue();
   }
 
+  @Test
+  void reportFromTheFarFutureDoesNotReplaceAWorker() {
+    harness.report("w1");
+    harness.submit("a", StepSpecification.builder().build());
+    harness.advance(Duration.ofMillis(200));
+
+    harness.reportAtAddressOf("w1", "ghost", Duration.ofDays(100_000).toMillis());
+    harness.advance(Duration.ofMillis(200));
+
+    assertThat(harness.isRegistered("ghost")).isFalse();
+    assertThat(harness.worker("w1").running()).containsExactly("a.0.0.0/1");
+  }
+
   @Test
   void workerThatTheLeaderForgotForItsSilenceMayReportAgain() {
     harness.report("w1");
