Find the workers that conflict with a report by an index

Each report of a worker was compared with all workers twice, over two copies of the list, on the thread that answers callers. Workers report each 1.5 s, so the cost grows with the square of their number. Processor time a report, compiler level 1, this machine (LeaderTickExperiment): 250 workers 30 to 45 microseconds, 1,000 112, 4,100 465; at 4,100 that is more than one processor. With an index by address and host in WorkerRegistry: 17, 8 and 8 (the first is the virtual machine warming up). SchedulingCostTest.reportOfAKnownWorkerCostsNoMoreWithManyWorkers failed before (18.3 ms for 50 reports against a bound of 3.2) and passes.

--- a/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.verbenawheel.event.Event;
 import org.verbenawheel.event.EventLine;
@@ -145,25 +144,13 @@
    * report is outdated.
    */
   private boolean isSuperseded(Worker reported) {
-    return conflictingWorkers(reported)
+    return registry.conflictingWith(reported).stream()
         .anyMatch(other -> other.bornAtMilliseconds() >= reported.bornAtMilliseconds());
   }
 
-  /**
-   * Returns the other workers with the same host or address; a host and an address have one worker
-   * each.
-   */
-  private Stream<Worker> conflictingWorkers(Worker reported) {
-    return registry.all().stream()
-        .filter(other -> !other.id().equals(reported.id()))
-        .filter(
-            other ->
-                other.address().equals(reported.address())
-                    || (!other.host().isEmpty() && other.host().equals(reported.host())));
-  }
-
   private void forgetPredecessors(Worker reported) {
-    conflictingWorkers(reported)
+    registry
+        .conflictingWith(reported)
         .forEach(other -> forgetInBackground(other, "its host or address has a new worker"));
   }
 
--- a/core/src/main/java/org/verbenawheel/worker/WorkerRegistry.java
+++ b/core/src/main/java/org/verbenawheel/worker/WorkerRegistry.java
@@ -3,11 +3,15 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.LinkedHashMultimap;
+import com.google.common.collect.SetMultimap;
+import com.google.common.collect.Sets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.verbenawheel.codec.MalformedMessageException;
 import org.verbenawheel.codec.MessageCodec;
@@ -33,6 +37,8 @@
   private final MessageCodec codec =
       new MessageCodec(MessageKinds.builder().add(SNAPSHOT_KIND, WorkersSnapshot.class).build());
   private final Map<String, Worker> workers = new LinkedHashMap<>();
+  private final SetMultimap<String, Worker> workersByAddress = LinkedHashMultimap.create();
+  private final SetMultimap<String, Worker> workersByHost = LinkedHashMultimap.create();
   private final Map<String, EndedWorker> ended = new LinkedHashMap<>();
 
   /** Returns the worker with an id, or empty if none is registered. */
@@ -45,6 +51,19 @@
     return ImmutableList.copyOf(workers.values());
   }
 
+  /**
+   * Returns the other registered workers with the same address or host, as a copy. An address and a
+   * host have one worker each, so at most one of them is still alive.
+   */
+  public ImmutableList<Worker> conflictingWith(Worker worker) {
+    Set<Worker> atAddress = workersByAddress.get(worker.address());
+    Set<Worker> onHost =
+        worker.host().isEmpty() ? ImmutableSet.of() : workersByHost.get(worker.host());
+    return Sets.union(atAddress, onHost).stream()
+        .filter(other -> !other.id().equals(worker.id()))
+        .collect(ImmutableList.toImmutableList());
+  }
+
   /** Returns whether a report describes an incarnation that is known to have ended. */
   public boolean hasEnded(Worker reported) {
     EndedWorker end = ended.get(reported.id());
@@ -77,7 +96,13 @@
   private void remove(String id, long bornAtMilliseconds) {
     find(id)
         .filter(current -> current.bornAtMilliseconds() <= bornAtMilliseconds)
-        .ifPresent(current -> workers.remove(current.id()));
+        .ifPresent(this::remove);
+  }
+
+  private void remove(Worker worker) {
+    workers.remove(worker.id());
+    workersByAddress.remove(worker.address(), worker);
+    workersByHost.remove(worker.host(), worker);
   }
 
   private void recordEnd(EndedWorker end) {
@@ -93,7 +118,10 @@
     Worker current = workers.get(worker.id());
     boolean older = current != null && current.bornAtMilliseconds() > worker.bornAtMilliseconds();
     if (!older && !hasEnded(worker)) {
+      find(worker.id()).ifPresent(this::remove);
       workers.put(worker.id(), worker);
+      workersByAddress.put(worker.address(), worker);
+      workersByHost.put(worker.host(), worker);
     }
   }
 
@@ -105,6 +133,8 @@
   @Override
   public void restore(byte[] snapshot) throws DamagedSnapshotException {
     workers.clear();
+    workersByAddress.clear();
+    workersByHost.clear();
     ended.clear();
     try {
       WorkersSnapshot restored = (WorkersSnapshot) codec.decode(snapshot);
--- a/core/src/test/java/org/verbenawheel/execution/SchedulingCostTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/SchedulingCostTest.java
@@ -14,13 +14,16 @@
 import org.verbenawheel.queue.InstallConfiguration;
 import org.verbenawheel.queue.QueueRoute;
 
-/** Tests what a scheduling round of {@link FleetLeadership} costs as the deployment grows. */
+/** Tests what rounds, ticks and reports of {@link FleetLeadership} cost as the deployment grows. */
 final class SchedulingCostTest {
   private static final int WORKERS = 40;
   private static final int JOBS = 150;
   private static final int FEW_QUEUES = 8;
   private static final int MANY_QUEUES = 2_000;
   private static final int ROUNDS = 12;
+  private static final int FEW_WORKERS = 100;
+  private static final int MANY_WORKERS = 4_000;
+  private static final int REPORTS_A_BATCH = 50;
 
   private final FleetHarness fleet = new FleetHarness();
 
@@ -63,6 +66,30 @@
     assertThat(fleet.rounds()).isEqualTo(before);
   }
 
+  // Thousands of workers report every second or two; a search through all of them for each report
+  // takes more than one processor.
+  @Test
+  void reportOfAKnownWorkerCostsNoMoreWithManyWorkers() {
+    reportFrom(0, FEW_WORKERS);
+    long withFewWorkers = shortestBatchOfReportsNanoseconds();
+    reportFrom(FEW_WORKERS, MANY_WORKERS);
+
+    assertThat(shortestBatchOfReportsNanoseconds()).isLessThan(4 * withFewWorkers);
+  }
+
+  private void reportFrom(int first, int end) {
+    for (int worker = first; worker < end; worker++) {
+      fleet.report("w" + worker);
+    }
+  }
+
+  private long shortestBatchOfReportsNanoseconds() {
+    return LongStream.generate(() -> processorNanosecondsOf(() -> reportFrom(0, REPORTS_A_BATCH)))
+        .limit(10 * ROUNDS)
+        .min()
+        .orElseThrow();
+  }
+
   private void install(long version, int queues) {
     ImmutableList<QueueRoute> routes =
         IntStream.range(0, queues)
@@ -80,12 +107,15 @@
   }
 
   private long shortestRoundNanoseconds() {
-    return LongStream.generate(this::roundNanoseconds).limit(ROUNDS).min().orElseThrow();
+    return LongStream.generate(() -> processorNanosecondsOf(fleet::schedule))
+        .limit(ROUNDS)
+        .min()
+        .orElseThrow();
   }
 
-  private long roundNanoseconds() {
+  private static long processorNanosecondsOf(Runnable task) {
     long before = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
-    fleet.schedule();
+    task.run();
     return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - before;
   }
 }
