Look through the workers once a tick for all moves, and only while hosts move

HostMover compared each move with all workers 20 times a second; PoolSizing checked the labels of a pool before it looked whether the host had been idle for long.

--- a/core/src/main/java/org/verbenawheel/execution/HostMover.java
+++ b/core/src/main/java/org/verbenawheel/execution/HostMover.java
@@ -188,17 +188,25 @@
    * {@code longestMove}.
    */
   private void removeEndedMoves(Instant now) {
+    if (moves.isEmpty()) {
+      return;
+    }
+    Map<String, Set<String>> poolsByHost = new HashMap<>();
+    for (WorkerSession session : sessions.values()) {
+      Worker worker = session.worker();
+      if (moves.containsKey(worker.host())) {
+        poolsByHost.computeIfAbsent(worker.host(), host -> new HashSet<>()).add(worker.pool());
+      }
+    }
     moves
         .entrySet()
         .removeIf(
             entry -> {
               boolean arrived =
                   entry.getValue().stage() == Stage.ORDERED
-                      && sessions.values().stream()
-                          .anyMatch(
-                              session ->
-                                  session.worker().host().equals(entry.getKey())
-                                      && session.worker().pool().equals(entry.getValue().pool()));
+                      && poolsByHost
+                          .getOrDefault(entry.getKey(), Set.of())
+                          .contains(entry.getValue().pool());
               return arrived
                   || now.isAfter(entry.getValue().decidedAt().plus(timings.moveTimeout()));
             });
--- a/core/src/main/java/org/verbenawheel/execution/PoolSizing.java
+++ b/core/src/main/java/org/verbenawheel/execution/PoolSizing.java
@@ -257,9 +257,9 @@
             member.idleSince().filter(at -> now.isAfter(at.plus(idleBeforeParking))).isPresent();
         double shareOfPeak =
             member.borrowed() ? PEAK_SHARE_KEPT_WHEN_RETURNING : PEAK_SHARE_KEPT_WHEN_PARKING;
-        boolean canPark = canSpare(member, shareOfPeak) && othersOfferLabelsOf(member);
         if (longIdle
-            && canPark
+            && canSpare(member, shareOfPeak)
+            && othersOfferLabelsOf(member)
             && addTransfer(
                 member.host(),
                 inputs.standby(),
