Let replicas that start together agree on one candidate

Traced: replicas were up 0.6 s after the power, three of them stood in the same term and split the vote, the next leader (term 6) was deposed 27 ms later by a candidate of term 7, the third one led 2.2 s after the replicas were up. Cause: a pre-vote was granted to everyone who asked at nearly the same moment, by candidates for themselves too; and a replica that had just voted granted the next pre-vote, since it had not heard the new leader yet. Change: of two pre-candidates the one that ranks lower gives up; who waits for votes, or has voted within an election timeout, grants no pre-vote. Ruled out: longer or wider timeouts (each failover would wait for them).

--- a/core/src/main/java/org/verbenawheel/replication/Election.java
+++ b/core/src/main/java/org/verbenawheel/replication/Election.java
@@ -77,10 +77,26 @@
     return grantCount >= core.members().quorum();
   }
 
-  /** Grants a pre-vote to an up-to-date candidate, unless this replica may have a leader. */
-  void onPreVoteRequest(Member from, VoteRequest request, boolean mayHaveLeader) {
+  /**
+   * Grants a pre-vote to an up-to-date candidate, unless this replica may have a leader, has just
+   * voted for one, or waits for votes itself. Of two replicas that ask each other, the one that
+   * ranks lower gives up, so that replicas which start together do not split the vote.
+   */
+  void onPreVoteRequest(Instant now, Member from, VoteRequest request, boolean mayHaveLeader) {
+    boolean rival = core.role() == Role.PRE_CANDIDATE;
     boolean granted =
-        request.header().term() > core.term() && !mayHaveLeader && isUpToDate(request);
+        request.header().term() > core.term()
+            && !mayHaveLeader
+            && !core.mayHaveElectedLeader(now)
+            && core.role() != Role.CANDIDATE
+            && isUpToDate(request)
+            && (!rival || outranks(request));
+    if (granted) {
+      core.postponeElection(now);
+    }
+    if (granted && rival) {
+      core.changeRole(Role.FOLLOWER, Optional.empty());
+    }
     long term = granted ? request.header().term() : core.term();
     Header header =
         new Header(request.header().cluster(), core.self().replica(), from.replica(), term);
@@ -95,7 +111,7 @@
     boolean granted = mayVoteForCandidate && isUpToDate(request);
     if (granted) {
       core.voteFor(core.term(), request.header().from());
-      core.postponeElection(now);
+      core.onVoteGranted(now);
     }
     Effect.Send reply = core.sendEffect(from, new VoteReply(core.headerTo(from), false, granted));
     core.durability().sendWhenHardStateSynced(reply, core.effects());
@@ -109,6 +125,14 @@
     return request.lastIndex() >= core.log().lastIndex();
   }
 
+  /** Returns whether an up-to-date candidate has more entries, or as many and the higher id. */
+  private boolean outranks(VoteRequest request) {
+    boolean moreEntries =
+        request.lastTerm() > core.log().lastTerm() || request.lastIndex() > core.log().lastIndex();
+    return moreEntries
+        || request.header().from().value().compareTo(core.self().replica().value()) > 0;
+  }
+
   /** Counts a granted vote; ignores a reply to an earlier request. */
   void onVoteReply(VoteReply reply) {
     boolean isExpected =
--- a/core/src/main/java/org/verbenawheel/replication/Replica.java
+++ b/core/src/main/java/org/verbenawheel/replication/Replica.java
@@ -151,7 +151,7 @@
   private void onVoteRequest(Instant now, Member candidate, VoteRequest request) {
     boolean mayHaveLeader = leadership != null || core.mayHaveLeader(now);
     if (request.preVote()) {
-      election.onPreVoteRequest(candidate, request, mayHaveLeader);
+      election.onPreVoteRequest(now, candidate, request, mayHaveLeader);
       return;
     }
     if (mayHaveLeader && !request.transfer()) {
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaCore.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaCore.java
@@ -26,6 +26,7 @@
   private Optional<Member> leader = Optional.empty();
   private long commitIndex;
   private Instant lastLeaderContact;
+  private Optional<Instant> lastGrantedVote = Optional.empty();
   private Instant electionDeadline;
 
   ReplicaCore(
@@ -167,6 +168,22 @@
     return Duration.between(lastLeaderContact, now).compareTo(timings.electionTimeout()) < 0;
   }
 
+  /** Records a vote for another replica, and postpones the next election. */
+  void onVoteGranted(Instant now) {
+    lastGrantedVote = Optional.of(now);
+    postponeElection(now);
+  }
+
+  /**
+   * Returns whether a replica that this one voted for may have won, though its first message as
+   * leader has not arrived yet.
+   */
+  boolean mayHaveElectedLeader(Instant now) {
+    return lastGrantedVote
+        .filter(at -> Duration.between(at, now).compareTo(timings.electionTimeout()) < 0)
+        .isPresent();
+  }
+
   /** Appends entries to the log in memory, and adds the effect that writes them to disk. */
   void append(List<LogEntry> entries) {
     for (LogEntry entry : entries) {
