--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -58,7 +58,7 @@
 public final class FleetControl implements PeerHandler, DaemonState {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration COMMAND_TIMEOUT = Duration.ofSeconds(3);
-  private static final int SNAPSHOT_EVERY_ENTRIES = 5_000;
+  private static final int SNAPSHOT_EVERY_ENTRIES = 2_000;
 
   /**
    * Messages between availability zones take milliseconds, and pauses of the virtual machine stay
