Try: refuse a job at acceptance when a forecast says that it would end after its last useful time

Forecast: the pool's waiting work that goes first, over the capacity that lasting arrivals of smaller jobs leave; refused if the job would end after three times its objective; Retry-After until it could be on time, spread by id; the objective of a caller that returns counts from its first refusal.

--- a/core/src/main/java/org/verbenawheel/execution/HostMover.java
+++ b/core/src/main/java/org/verbenawheel/execution/HostMover.java
@@ -261,7 +261,8 @@
         .toList();
   }
 
-  private Map<String, Long> arrivingMillicores() {
+  /** Returns the capacity of hosts that are moving to a pool, by pool, in thousandths of a core. */
+  Map<String, Long> arrivingMillicores() {
     long millicoresPerHost =
         sessions.values().stream()
             .mapToLong(session -> session.worker().capacity().cpuMillicores())
--- a/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -48,7 +49,7 @@
    * @param now the present time, comparable to the jobs' acceptance times
    * @param timeOfDayMilliseconds the present time in milliseconds since 1970, comparable to the
    *     start times of occurrences
-   * @return the runs to start, and the processor time that was missing
+   * @return the runs to start, the processor time that was missing, and the jobs that waited
    */
   public SchedulingResult decide(
       Collection<Job> jobs,
@@ -70,13 +71,20 @@
         .forEach(
             ranked -> {
               String pool = poolOf.apply(ranked.job());
+              round.backlogs.computeIfAbsent(pool, name -> new PoolBacklog.Builder()).add(ranked);
               long shortfallBefore = round.shortfallMillicores;
-              round.place(ranked.job(), capacityByPool.getOrDefault(pool, noWorkers));
+              PoolCapacity capacity = capacityByPool.getOrDefault(pool, noWorkers);
+              if (!ranked.mayBeDeferred(now) || capacity.hasRoomForLateJobs()) {
+                round.place(ranked.job(), capacity);
+              }
               if (ranked.status() != RankedJob.ObjectiveStatus.TOO_LATE) {
                 round.shortages.merge(pool, round.shortfallMillicores - shortfallBefore, Long::sum);
               }
             });
-    return new SchedulingResult(round.starts.build(), ImmutableMap.copyOf(round.shortages));
+    return new SchedulingResult(
+        round.starts.build(),
+        ImmutableMap.copyOf(round.shortages),
+        ImmutableMap.copyOf(Maps.transformValues(round.backlogs, PoolBacklog.Builder::build)));
   }
 
   /** Collects the starts and the shortages of one call of {@link #decide}. */
@@ -84,6 +92,7 @@
     private final long timeOfDayMilliseconds;
     private final ImmutableList.Builder<RunStart> starts = ImmutableList.builder();
     private final Map<String, Long> shortages = new HashMap<>();
+    private final Map<String, PoolBacklog.Builder> backlogs = new HashMap<>();
     private long shortfallMillicores;
 
     Round(long timeOfDayMilliseconds) {
