--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -6,7 +6,6 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.flogger.FluentLogger;
-import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
@@ -21,7 +20,6 @@
 import org.verbenawheel.event.EventLine;
 import org.verbenawheel.host.HostOrderRegistry;
 import org.verbenawheel.job.Job;
-import org.verbenawheel.job.JobCommands.AcceptJob;
 import org.verbenawheel.job.JobCommands.RunEnd;
 import org.verbenawheel.job.JobRegistry;
 import org.verbenawheel.job.RunEnding;
@@ -60,7 +58,6 @@
   private final WaveRegistry waveRegistry;
   private final HostMover hostMover;
   private final SchedulingRounds rounds;
-  private final AdmissionControl admission;
 
   private FleetLeadership(Factory factory, long term) {
     this.configuration = factory.configuration;
@@ -127,9 +124,6 @@
             factory.moveTimings,
             new PoolDemand(this::poolOf, factory.moveTimings.hostArrivalDelay()),
             this::onWorkerEnded);
-    this.admission =
-        new AdmissionControl(
-            context, sessions, this::poolOf, rounds::backlogs, hostMover::arrivingMillicores);
     logger.atInfo().log(
         "%s",
         EventLine.of(Event.FLEET_COMMAND)
@@ -197,7 +191,6 @@
    */
   public void onTick() {
     Instant now = context.now();
-    admission.onTick();
     for (WorkerSession session : ImmutableList.copyOf(sessions.values())) {
       session.onTick(now);
       if (session.isExpired(now)) {
@@ -256,16 +249,6 @@
     rounds.request();
   }
 
-  /** Returns when the caller should come back with a job, if it is to be refused; else empty. */
-  public Optional<Duration> retryAfter(AcceptJob job) {
-    return admission.retryAfter(job);
-  }
-
-  /** Returns how long ago a job was refused first; zero if it was not. */
-  public Duration waitedSinceRefusal(String job) {
-    return admission.waitedSinceRefusal(job);
-  }
-
   private List<FreeCapacity> schedulableCapacities(Instant now) {
     List<FreeCapacity> capacities = new ArrayList<>();
     for (WorkerSession session : sessions.values()) {
--- a/core/src/main/java/org/verbenawheel/execution/HostMover.java
+++ b/core/src/main/java/org/verbenawheel/execution/HostMover.java
@@ -261,8 +261,7 @@
         .toList();
   }
 
-  /** Returns the capacity of hosts that are moving to a pool, by pool, in thousandths of a core. */
-  Map<String, Long> arrivingMillicores() {
+  private Map<String, Long> arrivingMillicores() {
     long millicoresPerHost =
         sessions.values().stream()
             .mapToLong(session -> session.worker().capacity().cpuMillicores())
--- a/core/src/main/java/org/verbenawheel/execution/SchedulingRounds.java
+++ b/core/src/main/java/org/verbenawheel/execution/SchedulingRounds.java
@@ -25,7 +25,6 @@
 import org.verbenawheel.queue.FleetConfigurationState;
 import org.verbenawheel.scheduling.FreeCapacity;
 import org.verbenawheel.scheduling.JobScheduler;
-import org.verbenawheel.scheduling.PoolBacklog;
 import org.verbenawheel.scheduling.SchedulingResult;
 
 /**
@@ -49,7 +48,6 @@
   private final Timer timer;
   private final RoundPacer pacer = new RoundPacer();
   private ImmutableMap<String, Long> shortages = ImmutableMap.of();
-  private ImmutableMap<String, PoolBacklog> backlogs = ImmutableMap.of();
   private ImmutableSet<String> workersBeingBound = ImmutableSet.of();
   private boolean bindingInFlight;
   private boolean requested;
@@ -95,11 +93,6 @@
     return shortages;
   }
 
-  /** Returns the jobs that waited when the last round began, by pool. */
-  ImmutableMap<String, PoolBacklog> backlogs() {
-    return backlogs;
-  }
-
   /** Returns whether a binding to a worker is being committed. */
   boolean isBeingBound(String worker) {
     return workersBeingBound.contains(worker);
@@ -138,7 +131,6 @@
   private void run() {
     if (context.jobRegistry().active().stream().noneMatch(Job::hasWaitingTask)) {
       shortages = ImmutableMap.of();
-      backlogs = ImmutableMap.of();
       return;
     }
     Instant begin = context.now();
@@ -152,7 +144,6 @@
     pacer.onRound(begin, end);
     record(Duration.between(begin, end), decision);
     shortages = decision.shortages();
-    backlogs = decision.backlogs();
     if (!decision.starts().isEmpty()) {
       bind(decision.starts());
     }
--- a/core/src/main/java/org/verbenawheel/gateway/QueueAnswer.java
+++ b/core/src/main/java/org/verbenawheel/gateway/QueueAnswer.java
@@ -1,7 +1,6 @@
 package org.verbenawheel.gateway;
 
 import com.google.common.collect.ImmutableList;
-import java.time.Duration;
 import java.util.Optional;
 import org.verbenawheel.identity.ProcessId;
 import org.verbenawheel.job.JobPhase;
@@ -16,7 +15,6 @@
  *     Outcome#QUEUE_READ}
  * @param leader the current leader, for {@link Outcome#NOT_LEADER}; empty if unknown
  * @param controls all control processes, for {@link Outcome#NOT_LEADER}
- * @param retryAfterMilliseconds when the caller should come back, for {@link Outcome#OVERLOADED}
  * @param detail the error in a form for people; may be empty
  */
 public record QueueAnswer(
@@ -25,7 +23,6 @@
     long waitingJobs,
     Optional<ProcessId> leader,
     ImmutableList<ProcessId> controls,
-    Optional<Long> retryAfterMilliseconds,
     String detail)
     implements PeerMessage {
 
@@ -51,10 +48,6 @@
     NOT_LEADER,
     /** Nothing was done; the request may be resent. */
     NOT_DONE,
-    /**
-     * The job was refused because of the load; nothing was done, and it may be sent again later.
-     */
-    OVERLOADED,
     /** It is unknown whether the request was carried out; it may be resent. */
     UNKNOWN
   }
@@ -67,25 +60,13 @@
   /** Returns an answer with an outcome and an error detail for people. */
   public static QueueAnswer of(Outcome outcome, String detail) {
     return new QueueAnswer(
-        outcome,
-        Optional.empty(),
-        0,
-        Optional.empty(),
-        ImmutableList.of(),
-        Optional.empty(),
-        detail);
+        outcome, Optional.empty(), 0, Optional.empty(), ImmutableList.of(), detail);
   }
 
   /** Returns the answer with the state of a job. */
   public static QueueAnswer ofJob(JobPhase phase) {
     return new QueueAnswer(
-        Outcome.JOB_READ,
-        Optional.of(phase),
-        0,
-        Optional.empty(),
-        ImmutableList.of(),
-        Optional.empty(),
-        "");
+        Outcome.JOB_READ, Optional.of(phase), 0, Optional.empty(), ImmutableList.of(), "");
   }
 
   /** Returns the answer with the number of waiting jobs of a queue. */
@@ -96,26 +77,12 @@
         waitingJobs,
         Optional.empty(),
         ImmutableList.of(),
-        Optional.empty(),
         "");
   }
 
-  /** Returns the answer to a job that is refused because of the load. */
-  public static QueueAnswer overloaded(Duration retryAfter) {
-    return new QueueAnswer(
-        Outcome.OVERLOADED,
-        Optional.empty(),
-        0,
-        Optional.empty(),
-        ImmutableList.of(),
-        Optional.of(retryAfter.toMillis()),
-        "the queue's hosts can't end the job while it is of use; it was not stored");
-  }
-
   /** Returns the answer of a process that is not the leader. */
   public static QueueAnswer notLeader(
       Optional<ProcessId> leader, ImmutableList<ProcessId> controls) {
-    return new QueueAnswer(
-        Outcome.NOT_LEADER, Optional.empty(), 0, leader, controls, Optional.empty(), "");
+    return new QueueAnswer(Outcome.NOT_LEADER, Optional.empty(), 0, leader, controls, "");
   }
 }
--- a/core/src/main/java/org/verbenawheel/gateway/QueueService.java
+++ b/core/src/main/java/org/verbenawheel/gateway/QueueService.java
@@ -1,11 +1,8 @@
 package org.verbenawheel.gateway;
 
 import com.google.common.flogger.FluentLogger;
-import java.time.Duration;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import org.verbenawheel.event.Event;
 import org.verbenawheel.event.EventLine;
 import org.verbenawheel.execution.CommandSink;
@@ -35,13 +32,6 @@
   private final FleetConfigurationState configuration;
   private final JobRegistry jobRegistry;
   private final CommandSink sink;
-  private final AdmissionPolicy admission;
-
-  /**
-   * Jobs whose commit is under way or has an unknown outcome. Another request for one of them must
-   * not be refused: the caller would take the refusal for a promise that the job never runs.
-   */
-  private final Set<String> jobsThatMayBeStored = ConcurrentHashMap.newKeySet();
 
   /**
    * Creates the service.
@@ -49,17 +39,12 @@
    * @param configuration the queues in the replicated state
    * @param jobRegistry the jobs in the replicated state
    * @param sink commits submissions and cancellations
-   * @param admission decides on jobs that are not stored yet
    */
   public QueueService(
-      FleetConfigurationState configuration,
-      JobRegistry jobRegistry,
-      CommandSink sink,
-      AdmissionPolicy admission) {
+      FleetConfigurationState configuration, JobRegistry jobRegistry, CommandSink sink) {
     this.configuration = configuration;
     this.jobRegistry = jobRegistry;
     this.sink = sink;
-    this.admission = admission;
   }
 
   /**
@@ -123,22 +108,7 @@
     AcceptJob accept =
         new AcceptJob(
             job, queue.address(), specification.get(), limitsOf(queue, specification.get()));
-    Optional<Duration> retryAfter =
-        mayBeStored(job) ? Optional.empty() : admission.retryAfter(accept);
-    if (retryAfter.isPresent()) {
-      logger.atInfo().log(
-          "%s",
-          EventLine.of(Event.QUEUE_CALL_REFUSED)
-              .with("operation", call.operation())
-              .with("job", job)
-              .with("queue", queue.name())
-              .with("outcome", Outcome.OVERLOADED)
-              .with("retry_after_ms", retryAfter.get().toMillis()));
-      return CompletableFuture.completedFuture(QueueAnswer.overloaded(retryAfter.get()));
-    }
-    jobsThatMayBeStored.add(job);
-    return commit(withObjectiveFromFirstRefusal(accept))
-        .whenComplete((answer, failure) -> onCommitted(job, answer))
+    return commit(accept)
         .thenApply(
             answer -> {
               logger.atInfo().log(
@@ -157,34 +127,6 @@
             });
   }
 
-  /**
-   * Shortens the objective of a job that was refused before, so that it goes after those that can
-   * still be on time for their callers.
-   */
-  private AcceptJob withObjectiveFromFirstRefusal(AcceptJob accept) {
-    long waited = admission.waitedSinceRefusal(accept.job()).toMillis();
-    Limits limits = accept.limits();
-    return new AcceptJob(
-        accept.job(),
-        accept.queue(),
-        accept.specification(),
-        new Limits(
-            limits.pool(),
-            limits.priority(),
-            limits.maximumAttempts(),
-            Math.max(0, limits.objectiveMilliseconds() - waited)));
-  }
-
-  private boolean mayBeStored(String job) {
-    return jobsThatMayBeStored.contains(job) || jobRegistry.find(job).isPresent();
-  }
-
-  private void onCommitted(String job, QueueAnswer answer) {
-    if (answer.outcome() != Outcome.UNKNOWN) {
-      jobsThatMayBeStored.remove(job);
-    }
-  }
-
   private static Limits limitsOf(QueueRoute queue, JobSpecification specification) {
     long objective =
         (long) (queue.stretch() * specification.criticalPathMilliseconds())
--- a/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.Maps;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -49,7 +48,7 @@
    * @param now the present time, comparable to the jobs' acceptance times
    * @param timeOfDayMilliseconds the present time in milliseconds since 1970, comparable to the
    *     start times of occurrences
-   * @return the runs to start, the processor time that was missing, and the jobs that waited
+   * @return the runs to start, and the processor time that was missing
    */
   public SchedulingResult decide(
       Collection<Job> jobs,
@@ -71,20 +70,13 @@
         .forEach(
             ranked -> {
               String pool = poolOf.apply(ranked.job());
-              round.backlogs.computeIfAbsent(pool, name -> new PoolBacklog.Builder()).add(ranked);
               long shortfallBefore = round.shortfallMillicores;
-              PoolCapacity capacity = capacityByPool.getOrDefault(pool, noWorkers);
-              if (!ranked.mayBeDeferred(now) || capacity.hasRoomForLateJobs()) {
-                round.place(ranked.job(), capacity);
-              }
+              round.place(ranked.job(), capacityByPool.getOrDefault(pool, noWorkers));
               if (ranked.status() != RankedJob.ObjectiveStatus.TOO_LATE) {
                 round.shortages.merge(pool, round.shortfallMillicores - shortfallBefore, Long::sum);
               }
             });
-    return new SchedulingResult(
-        round.starts.build(),
-        ImmutableMap.copyOf(round.shortages),
-        ImmutableMap.copyOf(Maps.transformValues(round.backlogs, PoolBacklog.Builder::build)));
+    return new SchedulingResult(round.starts.build(), ImmutableMap.copyOf(round.shortages));
   }
 
   /** Collects the starts and the shortages of one call of {@link #decide}. */
@@ -92,7 +84,6 @@
     private final long timeOfDayMilliseconds;
     private final ImmutableList.Builder<RunStart> starts = ImmutableList.builder();
     private final Map<String, Long> shortages = new HashMap<>();
-    private final Map<String, PoolBacklog.Builder> backlogs = new HashMap<>();
     private long shortfallMillicores;
 
     Round(long timeOfDayMilliseconds) {
--- a/core/src/main/java/org/verbenawheel/scheduling/PoolCapacity.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/PoolCapacity.java
@@ -18,9 +18,6 @@
  * look at each worker: in an overloaded pool nearly every waiting task is.
  */
 final class PoolCapacity {
-  /** Share of a pool that jobs without value leave to jobs that arrive while their tasks run. */
-  private static final double SHARE_KEPT_FOR_TIMELY_JOBS = 0.25;
-
   private final List<FreeCapacity> workers = new ArrayList<>();
   private int largestFreeMillicores;
   private int largestFreeMegabytes;
@@ -60,17 +57,6 @@
     return Optional.ofNullable(best);
   }
 
-  /** Returns whether enough is free that a job without value any more delays no other. */
-  boolean hasRoomForLateJobs() {
-    long total = 0;
-    long free = 0;
-    for (FreeCapacity worker : workers) {
-      total += worker.millicoresForShortTasks();
-      free += worker.freeMillicores();
-    }
-    return free >= total * SHARE_KEPT_FOR_TIMELY_JOBS;
-  }
-
   /** Subtracts what a task reserves from one of the workers. */
   void reserve(FreeCapacity worker, Task task) {
     worker.reserve(task);
--- a/core/src/main/java/org/verbenawheel/scheduling/RankedJob.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/RankedJob.java
@@ -1,6 +1,5 @@
 package org.verbenawheel.scheduling;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.stream.IntStream;
@@ -22,12 +21,10 @@
  * @param status whether the job can still meet its objective
  * @param rank orders the jobs of one status and priority, the lowest first
  * @param objectiveTime when the job should be done
- * @param remainingWork the work left by its estimates, in thousandths of a core times milliseconds
  */
-record RankedJob(
-    Job job, ObjectiveStatus status, long rank, Instant objectiveTime, long remainingWork) {
+record RankedJob(Job job, ObjectiveStatus status, long rank, Instant objectiveTime) {
   /** A job that takes longer than this multiple of its objective has no value. */
-  static final int LATE_FACTOR = 3;
+  private static final int LATE_FACTOR = 3;
 
   static final Comparator<RankedJob> MOST_URGENT_FIRST =
       Comparator.comparing(RankedJob::status)
@@ -35,9 +32,6 @@
           .thenComparing(RankedJob::rank)
           .thenComparing(RankedJob::objectiveTime);
 
-  /** Jobs without value leave room to others for no longer than this after their objective. */
-  private static final Duration LONGEST_DEFERRAL = Duration.ofSeconds(30);
-
   /** Whether a job can still meet its objective, by the estimates of its steps. */
   enum ObjectiveStatus {
     /** The job has a step that runs until the job is cancelled. */
@@ -65,20 +59,14 @@
     Instant lastUsefulTime = dueTime.plusMillis(LATE_FACTOR * objectiveMilliseconds);
     Instant earliestEnd = now.plusMillis(remainingMilliseconds(job, occurrence));
     ObjectiveStatus status = statusOf(job, objectiveTime, lastUsefulTime, earliestEnd);
-    long remainingWork = remainingWork(job, occurrence);
     long rank =
         switch (status) {
-          case LONG_RUNNING, ON_TIME -> remainingWork;
+          case LONG_RUNNING, ON_TIME -> remainingWork(job, occurrence);
           case LATE -> lastUsefulTime.toEpochMilli();
           // Estimates are rough: a job that became too late last is the likeliest to end in time.
           case TOO_LATE -> -lastUsefulTime.toEpochMilli();
         };
-    return new RankedJob(job, status, rank, objectiveTime, remainingWork);
-  }
-
-  /** Returns whether the job has no value any more, but has not waited for long either. */
-  boolean mayBeDeferred(Instant now) {
-    return status == ObjectiveStatus.TOO_LATE && now.isBefore(objectiveTime.plus(LONGEST_DEFERRAL));
+    return new RankedJob(job, status, rank, objectiveTime);
   }
 
   private static int firstUnfinishedOccurrence(Job job) {
--- a/core/src/main/java/org/verbenawheel/scheduling/SchedulingResult.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/SchedulingResult.java
@@ -11,9 +11,6 @@
  * @param shortages for each pool the processor time, in thousandths of a core, of the waiting tasks
  *     that found no worker; tasks that no worker of the pool could run even when idle, and jobs
  *     that are too late to be of use, are left out
- * @param backlogs for each pool the jobs that had a waiting task when the round began
  */
 public record SchedulingResult(
-    ImmutableList<RunStart> starts,
-    ImmutableMap<String, Long> shortages,
-    ImmutableMap<String, PoolBacklog> backlogs) {}
+    ImmutableList<RunStart> starts, ImmutableMap<String, Long> shortages) {}
--- a/core/src/test/java/org/verbenawheel/gateway/QueueServiceTest.java
+++ b/core/src/test/java/org/verbenawheel/gateway/QueueServiceTest.java
@@ -11,7 +11,6 @@
 import org.junit.jupiter.api.Test;
 import org.verbenawheel.gateway.QueueAnswer.Outcome;
 import org.verbenawheel.gateway.QueueCall.Operation;
-import org.verbenawheel.job.JobCommands.AcceptJob;
 import org.verbenawheel.job.JobPhase;
 import org.verbenawheel.job.JobRegistry;
 import org.verbenawheel.job.JobSpecification;
@@ -35,10 +34,7 @@
 
   private final FleetConfigurationState configuration = new FleetConfigurationState();
   private final JobRegistry jobRegistry = new JobRegistry(Duration.ofMinutes(2));
-  private Optional<Duration> retryAfter = Optional.empty();
-  private Duration waited = Duration.ZERO;
-  private final QueueService service =
-      new QueueService(configuration, jobRegistry, this::commit, new FakeAdmission());
+  private final QueueService service = new QueueService(configuration, jobRegistry, this::commit);
   private Optional<RunVerdict> commitFailure = Optional.empty();
   private long index;
 
@@ -62,45 +58,6 @@
     assertThat(submit("/a/j1")).isEqualTo(Outcome.UNKNOWN);
   }
 
-  @Test
-  void refusedJobIsNotStored() {
-    retryAfter = Optional.of(Duration.ofMillis(2_500));
-
-    assertThat(submit("/a/j1")).isEqualTo(Outcome.OVERLOADED);
-    assertThat(jobRegistry.find("j1")).isEmpty();
-  }
-
-  // The caller takes a refusal for a promise that the job never runs.
-  @Test
-  void resentJobThatIsStoredIsNotRefused() {
-    submit("/a/j1");
-    retryAfter = Optional.of(Duration.ofSeconds(1));
-
-    assertThat(submit("/a/j1")).isEqualTo(Outcome.ACCEPTED);
-  }
-
-  @Test
-  void resentJobWhoseCommitMayStillSucceedIsNotRefused() {
-    commitFailure = Optional.of(RunVerdict.MAY_HAVE_RUN);
-    submit("/a/j1");
-    retryAfter = Optional.of(Duration.ofSeconds(1));
-
-    assertThat(submit("/a/j1")).isEqualTo(Outcome.UNKNOWN);
-  }
-
-  @Test
-  void objectiveOfARefusedJobThatReturnsCountsFromTheRefusal() {
-    submit("/a/j1");
-    waited = Duration.ofMillis(100);
-    submit("/a/j2");
-
-    assertThat(objectiveOf("j2")).isEqualTo(objectiveOf("j1") - 100);
-  }
-
-  private long objectiveOf(String job) {
-    return jobRegistry.find(job).orElseThrow().limits().objectiveMilliseconds();
-  }
-
   @Test
   void resentJobIsAcceptedAndStaysCancelled() {
     submit("/a/j1");
@@ -183,17 +140,4 @@
   private QueueAnswer answerTo(Operation operation, String path) {
     return service.answer(new QueueCall(operation, "h", path, Optional.empty())).join();
   }
-
-  /** Answers what the test sets. */
-  private final class FakeAdmission implements AdmissionPolicy {
-    @Override
-    public Optional<Duration> retryAfter(AcceptJob job) {
-      return retryAfter;
-    }
-
-    @Override
-    public Duration waitedSinceRefusal(String job) {
-      return waited;
-    }
-  }
 }
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -21,14 +21,12 @@
 import org.verbenawheel.execution.HostCalls;
 import org.verbenawheel.execution.PlacementAdviser;
 import org.verbenawheel.execution.WorkerCalls;
-import org.verbenawheel.gateway.AdmissionPolicy;
 import org.verbenawheel.gateway.QueueAnswer;
 import org.verbenawheel.gateway.QueueAnswer.Outcome;
 import org.verbenawheel.gateway.QueueCall;
 import org.verbenawheel.gateway.QueueService;
 import org.verbenawheel.host.HostOrderRegistry;
 import org.verbenawheel.identity.ProcessId;
-import org.verbenawheel.job.JobCommands.AcceptJob;
 import org.verbenawheel.job.JobCommands.CancelJob;
 import org.verbenawheel.job.JobRegistry;
 import org.verbenawheel.peer.PeerHandler;
@@ -120,7 +118,7 @@
             .commandTimeout(COMMAND_TIMEOUT)
             .snapshotInterval(SNAPSHOT_EVERY_ENTRIES)
             .build();
-    this.queues = new QueueService(configuration, jobs, this::commit, new LeaderAdmission());
+    this.queues = new QueueService(configuration, jobs, this::commit);
     this.reports = new FleetReports(replica, jobs, workers);
     OrderAuthority orderAuthority = new OrderAuthority(clock, System::currentTimeMillis);
     FleetLeadership.Factory leadershipFactory =
@@ -361,22 +359,6 @@
     return answer;
   }
 
-  /** Asks the leadership; accepts every job while there is none. */
-  private final class LeaderAdmission implements AdmissionPolicy {
-    @Override
-    public Optional<Duration> retryAfter(AcceptJob job) {
-      return leaderLoop.leadership().flatMap(leadership -> leadership.retryAfter(job));
-    }
-
-    @Override
-    public Duration waitedSinceRefusal(String job) {
-      return leaderLoop
-          .leadership()
-          .map(leadership -> leadership.waitedSinceRefusal(job))
-          .orElse(Duration.ZERO);
-    }
-  }
-
   private QueueAnswer notLeaderAnswer() {
     ImmutableList<ProcessId> controls =
         replica
--- a/daemon/src/main/java/org/verbenawheel/fleet/QueueCalls.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/QueueCalls.java
@@ -200,37 +200,18 @@
           retryAfter(attempt);
         }
         case NOT_DONE -> retryAfter(attempt);
-        case OVERLOADED -> onOverloaded(attempt, answer);
         case UNKNOWN -> {
           mayHaveRun = true;
           retryAfter(attempt);
         }
         default -> {
-          recordLeaderAnswer(attempt);
+          leader = Optional.of(attempt.target());
+          lastAnswer = Optional.of(new LeaderAnswer(attempt.target(), clock.instant()));
           result.complete(answer);
         }
       }
     }
 
-    private void recordLeaderAnswer(Attempt attempt) {
-      leader = Optional.of(attempt.target());
-      lastAnswer = Optional.of(new LeaderAnswer(attempt.target(), clock.instant()));
-    }
-
-    /**
-     * Passes a refusal on only if no earlier attempt can still store the job: the caller takes it
-     * for a promise that the job never runs.
-     */
-    private void onOverloaded(Attempt attempt, QueueAnswer answer) {
-      recordLeaderAnswer(attempt);
-      result.complete(
-          mayHaveRun
-              ? QueueAnswer.of(
-                  Outcome.UNKNOWN,
-                  "the leader refuses the job, but an earlier attempt may have stored it")
-              : answer);
-    }
-
     private boolean isLatest(Attempt attempt) {
       return attempt.number() == attempts.get();
     }
--- a/daemon/src/test/java/org/verbenawheel/fleet/QueueCallsTest.java
+++ b/daemon/src/test/java/org/verbenawheel/fleet/QueueCallsTest.java
@@ -79,26 +79,6 @@
     assertThat(calls.send(CALL, TIMEOUT).join().outcome()).isEqualTo(Outcome.UNKNOWN);
   }
 
-  @Test
-  void refusalIsPassedOnIfNoAttemptMayHaveRun() {
-    links.addFailure(RunVerdict.NOT_RUN);
-    links.addAnswer(QueueAnswer.overloaded(Duration.ofSeconds(2)));
-
-    QueueAnswer answer = calls.send(CALL, TIMEOUT).join();
-
-    assertThat(answer.outcome()).isEqualTo(Outcome.OVERLOADED);
-    assertThat(answer.retryAfterMilliseconds()).hasValue(2_000L);
-  }
-
-  // A refusal says that the job never runs.
-  @Test
-  void refusalAfterAnAttemptThatMayHaveRunIsUnknown() {
-    links.addFailure(RunVerdict.MAY_HAVE_RUN);
-    links.addAnswer(QueueAnswer.overloaded(Duration.ofSeconds(2)));
-
-    assertThat(calls.send(CALL, TIMEOUT).join().outcome()).isEqualTo(Outcome.UNKNOWN);
-  }
-
   @Test
   void requestFailsBeforeItsTimeoutWhileNoLeaderIsReachable() {
     links.setDefaultVerdict(RunVerdict.NOT_RUN);
