Keep a quarter of a pool free of jobs that have no value any more

Callers who could still be in time waited for tasks of jobs that were hopeless: such jobs went last, but each gap of a surge filled with their tasks, which run for seconds and are not interrupted. Now a job that can't end before its last useful time starts only while a quarter of the pool's processor time is free (a tenth once it is overdue by 30 s); what long-running tasks hold doesn't count.

--- a/core/src/main/java/org/verbenawheel/scheduling/FreeCapacity.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/FreeCapacity.java
@@ -23,6 +23,7 @@
   private int servingTasks;
   private int leftoverTasks;
   private int longRunningTasks;
+  private int longRunningMillicores;
 
   /**
    * Creates the free capacity of a worker on which nothing runs.
@@ -50,6 +51,7 @@
     copy.servingTasks = servingTasks;
     copy.leftoverTasks = leftoverTasks;
     copy.longRunningTasks = longRunningTasks;
+    copy.longRunningMillicores = longRunningMillicores;
     return copy;
   }
 
@@ -63,6 +65,11 @@
     return freeMillicores;
   }
 
+  /** Returns the processor time that long-running tasks leave, in thousandths of a core. */
+  int millicoresForShortTasks() {
+    return worker.capacity().cpuMillicores() - longRunningMillicores;
+  }
+
   /** Returns the memory that is free, in megabytes. */
   int freeMegabytes() {
     return freeMegabytes;
@@ -83,6 +90,7 @@
     }
     if (step.longRunning()) {
       longRunningTasks++;
+      longRunningMillicores += step.reservedMillicores();
     }
   }
 
--- a/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
@@ -23,6 +23,16 @@
  * leader calls it on the state thread and commits the result before it sends anything.
  */
 public final class JobScheduler {
+  /**
+   * Share of a pool that jobs without value leave to jobs that arrive while their tasks run: tasks
+   * are not interrupted, so a full pool would make the next job late too.
+   */
+  private static final double SHARE_KEPT_FOR_TIMELY_JOBS = 0.25;
+
+  /** Part of that share that overdue jobs leave, so that they end in a pool that is always busy. */
+  private static final double OVERDUE_SHARE = 0.4;
+
+  private final double shareKeptForTimelyJobs;
   private final Function<Job, String> poolOf;
   private final Function<Task, Predicate<Worker>> permittedWorkers;
 
@@ -35,8 +45,17 @@
    */
   public JobScheduler(
       Function<Job, String> poolOf, Function<Task, Predicate<Worker>> permittedWorkers) {
+    this(poolOf, permittedWorkers, SHARE_KEPT_FOR_TIMELY_JOBS);
+  }
+
+  /** Creates a scheduler with another share of each pool that jobs without value leave free. */
+  JobScheduler(
+      Function<Job, String> poolOf,
+      Function<Task, Predicate<Worker>> permittedWorkers,
+      double shareKeptForTimelyJobs) {
     this.poolOf = poolOf;
     this.permittedWorkers = permittedWorkers;
+    this.shareKeptForTimelyJobs = shareKeptForTimelyJobs;
   }
 
   /**
@@ -71,7 +90,11 @@
             ranked -> {
               String pool = poolOf.apply(ranked.job());
               long shortfallBefore = round.shortfallMillicores;
-              round.place(ranked.job(), capacityByPool.getOrDefault(pool, noWorkers));
+              PoolCapacity capacity = capacityByPool.getOrDefault(pool, noWorkers);
+              if (ranked.status() != RankedJob.ObjectiveStatus.TOO_LATE
+                  || capacity.hasFreeShare(shareKept(ranked, now))) {
+                round.place(ranked.job(), capacity);
+              }
               if (ranked.status() != RankedJob.ObjectiveStatus.TOO_LATE) {
                 round.shortages.merge(pool, round.shortfallMillicores - shortfallBefore, Long::sum);
               }
@@ -79,6 +102,10 @@
     return new SchedulingResult(round.starts.build(), ImmutableMap.copyOf(round.shortages));
   }
 
+  private double shareKept(RankedJob tooLate, Instant now) {
+    return tooLate.isOverdue(now) ? shareKeptForTimelyJobs * OVERDUE_SHARE : shareKeptForTimelyJobs;
+  }
+
   /** Collects the starts and the shortages of one call of {@link #decide}. */
   private final class Round {
     private final long timeOfDayMilliseconds;
--- a/core/src/main/java/org/verbenawheel/scheduling/PoolCapacity.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/PoolCapacity.java
@@ -57,6 +57,20 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Returns whether at least a share of the processor time is free, not counting what long-running
+   * tasks hold.
+   */
+  boolean hasFreeShare(double share) {
+    long total = 0;
+    long free = 0;
+    for (FreeCapacity worker : workers) {
+      total += worker.millicoresForShortTasks();
+      free += worker.freeMillicores();
+    }
+    return free >= total * share;
+  }
+
   /** Subtracts what a task reserves from one of the workers. */
   void reserve(FreeCapacity worker, Task task) {
     worker.reserve(task);
--- a/core/src/main/java/org/verbenawheel/scheduling/RankedJob.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/RankedJob.java
@@ -1,5 +1,6 @@
 package org.verbenawheel.scheduling;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.stream.IntStream;
@@ -32,6 +33,9 @@
           .thenComparing(RankedJob::rank)
           .thenComparing(RankedJob::objectiveTime);
 
+  /** A job that has waited for this long after its objective is overdue. */
+  private static final Duration OVERDUE_AFTER = Duration.ofSeconds(30);
+
   /** Whether a job can still meet its objective, by the estimates of its steps. */
   enum ObjectiveStatus {
     /** The job has a step that runs until the job is cancelled. */
@@ -69,6 +73,11 @@
     return new RankedJob(job, status, rank, objectiveTime);
   }
 
+  /** Returns whether the job has waited for long after its objective. */
+  boolean isOverdue(Instant now) {
+    return now.isAfter(objectiveTime.plus(OVERDUE_AFTER));
+  }
+
   private static int firstUnfinishedOccurrence(Job job) {
     JobSpecification specification = job.specification();
     for (int occurrence = 0; occurrence < specification.occurrences(); occurrence++) {
--- a/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerTest.java
+++ b/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerTest.java
@@ -208,6 +208,36 @@
     assertThat(decideAndRecord()).containsExactly(new RunStart("a.1.0.0", 1, "w"));
   }
 
+  // A task can't be interrupted, so the next job in time would wait for it.
+  @Test
+  void jobWithoutValueLeavesAQuarterOfThePoolFree() {
+    addWorker("w", 8_000, "r1");
+    submit("hopeless", 100, step(9_000), step(9_000));
+    submit("timely", 9_000, StepSpecification.builder().taskCount(7).uses(1_000, 1, 0).build());
+
+    assertThat(decideAndRecord().stream().map(RunStart::task).toList())
+        .doesNotContain("hopeless.0.0.0");
+  }
+
+  @Test
+  void jobWithoutValueRunsInAPoolThatLongRunningTasksNearlyFill() {
+    addWorker("w", 8_000, "r1");
+    submit("serving", 100, StepSpecification.builder().uses(7_000, 1, 0).longRunning(true).build());
+    submit("hopeless", 100, step(9_000));
+
+    assertThat(decideAndRecord().stream().map(RunStart::task).toList()).contains("hopeless.0.0.0");
+  }
+
+  @Test
+  void overdueJobStartsInABusierPool() {
+    addWorker("w", 8_000, "r1");
+    submit("hopeless", 100, step(9_000));
+    now = now.plusSeconds(60);
+    submit("timely", 9_000, StepSpecification.builder().taskCount(7).uses(1_000, 1, 0).build());
+
+    assertThat(decideAndRecord().stream().map(RunStart::task).toList()).contains("hopeless.0.0.0");
+  }
+
   @Test
   void lateJobWithTheEarlierLastUsefulTimeStartsFirst() {
     addWorker("w", 1_000, "r1");
