--- a/core/src/test/java/org/verbenawheel/replication/RestartElectionTest.java
+++ b/core/src/test/java/org/verbenawheel/replication/RestartElectionTest.java
@@ -168,7 +168,7 @@
 
     private long delay(ProcessId process) {
       Instant coldUntil = startedAt.getOrDefault(process, now).plusMillis(COLD_MILLISECONDS);
-      return 1 + (now.isBefore(coldUntil) ? random.nextInt(LONGEST_COLD_DELAY_MILLISECONDS) : 0);
+      return 1L + (now.isBefore(coldUntil) ? random.nextInt(LONGEST_COLD_DELAY_MILLISECONDS) : 0);
     }
 
     private Replica replica(ProcessId process) {
