Find critical paths without recursion, and bound the steps of a job

One job that a caller sends could take the leader down, and each leader after it when the caller tried again: 60 steps that each depend on all earlier ones kept the state thread for 2^60 calls, and a chain of 20,000 steps ended the thread with a StackOverflowError, for which the replica is closed. Cause: JobSpecification.criticalPathMillisecondsFrom called itself for each later step, without remembering. Now one pass from the last step to the first, kept with the job; at most 1,000 steps and 20,000 dependencies. A job whose last occurrence would start beyond the range of a long, and so at once, is refused too.

--- a/core/src/main/java/org/verbenawheel/job/Job.java
+++ b/core/src/main/java/org/verbenawheel/job/Job.java
@@ -14,6 +14,7 @@
   private final Instant acceptedAt;
   private final ImmutableList<ImmutableList<ImmutableList<Task>>> occurrences;
   private final int[][] unfinished;
+  private final ImmutableList<Long> criticalPathsMilliseconds;
   private int unfinishedTasks;
   private int boundTasks;
   private JobPhase phase = JobPhase.QUEUED;
@@ -22,6 +23,7 @@
   Job(AcceptJob accepted, Instant acceptedAt) {
     this.accepted = accepted;
     this.acceptedAt = acceptedAt;
+    this.criticalPathsMilliseconds = accepted.specification().criticalPathsMilliseconds();
     int count = accepted.specification().occurrences();
     int stepCount = accepted.specification().steps().size();
     this.unfinished = new int[count][stepCount];
@@ -95,6 +97,11 @@
     return boundTasks < unfinishedTasks;
   }
 
+  /** Returns the estimated time from the start of a step to the end of the job, in milliseconds. */
+  public long criticalPathMillisecondsFrom(int step) {
+    return criticalPathsMilliseconds.get(step);
+  }
+
   /** Returns the tasks of one step. */
   public ImmutableList<Task> tasks(int occurrence, int step) {
     return occurrences.get(occurrence).get(step);
--- a/core/src/main/java/org/verbenawheel/job/JobSpecification.java
+++ b/core/src/main/java/org/verbenawheel/job/JobSpecification.java
@@ -1,7 +1,6 @@
 package org.verbenawheel.job;
 
 import com.google.common.collect.ImmutableList;
-import java.util.stream.IntStream;
 
 /**
  * A job as a caller submits it: steps of tasks that run once, or several times at an interval.
@@ -25,6 +24,15 @@
    */
   public static final int MAXIMUM_TASKS = 20_000;
 
+  /** The year 33658, in milliseconds since 1970; later start times would overflow. */
+  private static final long LATEST_START_MILLISECONDS = 1_000_000_000_000_000L;
+
+  /** The most steps of one job; each round of scheduling looks at all of them. */
+  public static final int MAXIMUM_STEPS = 1_000;
+
+  /** The most dependencies between the steps of one job, for the same reason. */
+  public static final int MAXIMUM_DEPENDENCIES = 20_000;
+
   /** Returns an error message for each invalid value; empty if the job is valid. */
   public ImmutableList<String> problems() {
     ImmutableList.Builder<String> problems = ImmutableList.builder();
@@ -40,6 +48,15 @@
         problems.add("step " + step + ": a step may depend only on earlier steps");
       }
     }
+    long dependencies = steps.stream().mapToLong(step -> step.dependsOn().size()).sum();
+    if (steps.size() > MAXIMUM_STEPS || dependencies > MAXIMUM_DEPENDENCIES) {
+      problems.add(
+          "a job may have at most "
+              + MAXIMUM_STEPS
+              + " steps and "
+              + MAXIMUM_DEPENDENCIES
+              + " dependencies between them");
+    }
     long tasks = steps.stream().mapToLong(StepSpecification::taskCount).sum() * occurrences;
     if (occurrences < 1 || tasks > MAXIMUM_TASKS) {
       problems.add(
@@ -47,6 +64,12 @@
               + MAXIMUM_TASKS
               + " tasks over all of them");
     }
+    double lastStart = firstStartMilliseconds + (double) occurrences * intervalMilliseconds;
+    if (firstStartMilliseconds < 0
+        || intervalMilliseconds < 0
+        || lastStart > LATEST_START_MILLISECONDS) {
+      problems.add("each occurrence must start between the years 1970 and 33658");
+    }
     return problems.build();
   }
 
@@ -61,26 +84,24 @@
   }
 
   /**
-   * Returns the estimated time from the start of a step to the end of the job, in milliseconds: the
-   * longest chain of steps that depend on each other.
-   *
-   * @param from the first step of the chain
+   * Returns for each step the estimated time from its start to the end of the job, in milliseconds:
+   * the longest chain of steps that depend on each other.
    */
-  public long criticalPathMillisecondsFrom(int from) {
-    long after =
-        IntStream.range(from + 1, steps.size())
-            .filter(later -> steps.get(later).dependsOn().contains(from))
-            .mapToLong(this::criticalPathMillisecondsFrom)
-            .max()
-            .orElse(0);
-    return steps.get(from).estimateMilliseconds() + after;
+  public ImmutableList<Long> criticalPathsMilliseconds() {
+    long[] after = new long[steps.size()];
+    ImmutableList.Builder<Long> fromLastToFirst = ImmutableList.builder();
+    for (int step = steps.size() - 1; step >= 0; step--) {
+      long path = steps.get(step).estimateMilliseconds() + after[step];
+      fromLastToFirst.add(path);
+      for (int earlier : steps.get(step).dependsOn()) {
+        after[earlier] = Math.max(after[earlier], path);
+      }
+    }
+    return fromLastToFirst.build().reverse();
   }
 
   /** Returns the estimated length of the job's critical path, in milliseconds. */
   public long criticalPathMilliseconds() {
-    return IntStream.range(0, steps.size())
-        .mapToLong(this::criticalPathMillisecondsFrom)
-        .max()
-        .orElse(0);
+    return criticalPathsMilliseconds().stream().mapToLong(Long::longValue).max().orElse(0);
   }
 }
--- a/core/src/main/java/org/verbenawheel/scheduling/RankedJob.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/RankedJob.java
@@ -134,7 +134,7 @@
     JobSpecification specification = job.specification();
     return IntStream.range(0, specification.steps().size())
         .filter(step -> !job.isDone(occurrence, step) && job.isReady(occurrence, step))
-        .mapToLong(specification::criticalPathMillisecondsFrom)
+        .mapToLong(job::criticalPathMillisecondsFrom)
         .max()
         .orElse(0);
   }
