--- a/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
@@ -88,6 +88,20 @@
     assertThat(harness.startedTwice()).isEmpty();
   }
 
+  // A worker whose reports are lost still runs its tasks and says so when it is polled.
+  @Test
+  void workerThatOnlyStopsReportingKeepsItsTasks() {
+    harness.report("w1");
+    harness.submit("a", StepSpecification.builder().build());
+    harness.advance(Duration.ofMillis(200));
+    harness.report("w2");
+
+    harness.advance(Duration.ofMinutes(10));
+
+    assertThat(harness.worker("w1").running()).containsExactly("a.0.0.0/1");
+    assertThat(harness.worker("w2").running()).isEmpty();
+  }
+
   /** If each unanswered poll extended the lease, the tasks could never run elsewhere. */
   @Test
   void unansweredPollsDoNotExtendTheLease() {
