Let a worker report again after its host was ordered down or moved

The platform answers a repeated order with success too. If the host's next worker was registered by then, the roster took it for the one that had ended and, since, ignored its reports for ten minutes: the host was lost to its pool. Only an announced end is kept now; an order forgets the worker as before. Test: workerThatCameBackBeforeTheOrderWasAnsweredIsUsed failed before.

--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -285,8 +285,12 @@
     return configuration.current().filter(current -> current.isStandby(pool)).isPresent();
   }
 
+  /**
+   * Forgets the worker of a host that was ordered down or moved. A repeated order is answered with
+   * success too, when the host's next worker may be registered already, so it may report again.
+   */
   private void onWorkerEnded(String id) {
-    roster.endInBackground(id, "its host went down or moved as ordered");
+    roster.forgetInBackground(id, "its host went down or moved as ordered");
   }
 
   private List<Worker> usableWorkers(String pool, Instant now) {
--- a/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
@@ -181,20 +181,16 @@
         .orElseGet(() -> CompletableFuture.completedFuture(null));
   }
 
-  /** Removes a worker that has ended, if it is registered; a failure is only logged. */
-  void endInBackground(String id, String reason) {
-    registry.find(id).ifPresent(worker -> logFailure(worker, end(worker, reason)));
+  /** Forgets a worker if it is registered; a failure is only logged. */
+  void forgetInBackground(String id, String reason) {
+    registry.find(id).ifPresent(worker -> forgetInBackground(worker, reason));
   }
 
-  /** Forgets a worker; a failure is only logged. */
+  /** Forgets a worker until it reports again; a failure is only logged. */
   void forgetInBackground(Worker worker, String reason) {
     ForgetWorker command = new ForgetWorker(worker.id(), worker.bornAtMilliseconds());
-    logFailure(worker, remove(worker, command, reason));
-  }
-
-  private void logFailure(Worker worker, CompletableFuture<?> removal) {
     context.whenDone(
-        removal,
+        remove(worker, command, reason),
         (reply, failure) -> {
           if (failure != null) {
             logger.atWarning().withCause(failure).log(
--- a/core/src/test/java/org/verbenawheel/execution/FleetHostsTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHostsTest.java
@@ -53,6 +53,20 @@
     assertThat(harness.hosts().maintained()).containsExactly("host-w1");
   }
 
+  // The platform answers a repeated order with success too, after the host's worker came back.
+  @Test
+  void workerThatCameBackBeforeTheOrderWasAnsweredIsUsed() {
+    harness.report("w1");
+    addHost("w1", "p");
+    harness.apply(new StartWave(1, ImmutableList.of("host-w1"), 60_000, 1));
+    harness.advance(Duration.ofSeconds(2));
+    assertThat(harness.hosts().maintained()).containsExactly("host-w1");
+
+    harness.report("w1");
+
+    assertThat(harness.isRegistered("w1")).isTrue();
+  }
+
   @Test
   void hostWithPendingMaintenanceOrderGetsNoTasksWhileThePlatformIsOverloaded() {
     harness.report("w1");
