Let a worker that reports no start return after its end

Found while reading the change. Test: workerThatReportsNoStartMayReturn failed before (the registry stayed empty).

--- a/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
@@ -200,7 +200,9 @@
   }
 
   private CompletableFuture<?> end(Worker worker, String reason) {
-    endedIncarnations.put(worker.id(), worker.bornAtMilliseconds());
+    if (worker.bornAtMilliseconds() > 0) {
+      endedIncarnations.put(worker.id(), worker.bornAtMilliseconds());
+    }
     return remove(worker, new EndWorker(worker.id(), worker.bornAtMilliseconds()), reason);
   }
 
--- a/core/src/main/java/org/verbenawheel/worker/Worker.java
+++ b/core/src/main/java/org/verbenawheel/worker/Worker.java
@@ -8,7 +8,7 @@
  *
  * @param id the worker's id
  * @param bornAtMilliseconds when this incarnation started, in milliseconds since 1970 by the
- *     worker's clock
+ *     worker's clock; 0 if the worker does not report it
  * @param host the host that it runs on; empty if the worker does not report one
  * @param pool the pool that it belongs to
  * @param address where it accepts commands, as {@code ip:port}
--- a/core/src/main/java/org/verbenawheel/worker/WorkerCommands.java
+++ b/core/src/main/java/org/verbenawheel/worker/WorkerCommands.java
@@ -25,7 +25,8 @@
   public record ForgetWorker(String id, long bornAtMilliseconds) implements ControlCommand {}
 
   /**
-   * Removes a worker that is known to have ended, and rejects late reports of that incarnation.
+   * Removes a worker that is known to have ended, and rejects late reports of that incarnation
+   * unless its start is unknown.
    *
    * @param id the worker's id
    * @param bornAtMilliseconds the start of the incarnation that ended, in milliseconds since 1970
--- a/core/src/main/java/org/verbenawheel/worker/WorkerRegistry.java
+++ b/core/src/main/java/org/verbenawheel/worker/WorkerRegistry.java
@@ -106,6 +106,9 @@
   }
 
   private void recordEnd(EndedWorker end) {
+    if (end.bornAtMilliseconds() == 0) {
+      return;
+    }
     Instant oldest = end.endedAt().minus(ENDED_RETENTION);
     ended.values().removeIf(earlier -> earlier.endedAt().isBefore(oldest));
     ended.merge(
--- a/core/src/test/java/org/verbenawheel/worker/WorkerRegistryTest.java
+++ b/core/src/test/java/org/verbenawheel/worker/WorkerRegistryTest.java
@@ -47,6 +47,18 @@
     assertThat(restored.hasEnded(WORKER.withBornAtMilliseconds(11))).isFalse();
   }
 
+  // Without a start its incarnations can't be told apart.
+  @Test
+  void workerThatReportsNoStartMayReturn() {
+    Worker withoutStart = WORKER.withBornAtMilliseconds(0);
+    apply(new RecordWorker(withoutStart));
+    apply(new EndWorker("w1", 0));
+
+    apply(new RecordWorker(withoutStart));
+
+    assertThat(registry.all()).containsExactly(withoutStart);
+  }
+
   @Test
   void endIsForgottenOnceNoReportCanBeThatLate() {
     apply(new EndWorker("w1", 10));
