--- a/review/standin/Cases.java
+++ b/review/standin/Cases.java
@@ -1,3 +1,4 @@
+import com.fasterxml.jackson.databind.JsonNode;
 import com.sun.net.httpserver.HttpServer;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -7,21 +8,27 @@
 /** Runs one case by its name; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run. */
 final class Cases {
   private static final String CONFIGURATION =
-      "{\"version\":1,\"routes\":[" + route("r", "/q/") + "," + route("t", "/t/") + "],"
+      configuration(1, route("r", "/q/") + "," + route("t", "/t/"));
+
+  private Cases() {}
+
+  private static String configuration(int version, String routes) {
+    return "{\"version\":" + version + ",\"routes\":[" + routes + "],"
           + "\"services\":[{\"name\":\"s\",\"health_path\":\"/healthz\",\"max_connections\":64,"
           + "\"protocol\":\"h1\",\"tls\":false,\"admission_check\":true,\"standby\":false}],"
           + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
           + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
-
-  private Cases() {}
+  }
 
   private static String route(String name, String prefix) {
-    return "{\"name\":\"" + name + "\",\"host\":\"127.0.0.9\",\"path_prefix\":\"" + prefix
+    return "{\"name\":\"" + name + "\",\"host\":\"" + Deployment.HOST + "\",\"path_prefix\":\"" + prefix
         + "\",\"kind\":\"non_idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":600,"
         + "\"priority\":0,\"service\":\"s\",\"max_attempts\":4,\"stretch\":1.6}";
   }
 
   public static void main(String[] arguments) throws Exception {
+    // Clients address a queue by the Host header, which the HTTP client sets by itself otherwise.
+    System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     int code = 2;
     try (Record record = new Record(Path.of(arguments[1]))) {
@@ -30,7 +37,8 @@
             switch (arguments[0]) {
               case "foreign-report" -> foreignReport(record, trouble);
               case "wide-submission" -> wideSubmission(record, trouble);
-              case "pending" -> pending(record, trouble);
+              case "late-after-cancel" -> lateAfterCancel(record, trouble);
+              case "removed-queue" -> removedQueue(record, trouble);
               default -> throw new IllegalArgumentException("no such case: " + arguments[0]);
             };
       } catch (Deployment.Setup notRun) {
@@ -70,6 +78,30 @@
     return "127.0.0.7:" + server.getAddress().getPort();
   }
 
+  /** An advice service that approves every worker, with a ticket for the step and the worker. */
+  private static HttpServer adviser(Record record) throws java.io.IOException {
+    HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.7", 0), 16);
+    server.createContext(
+        "/advise",
+        exchange -> {
+          JsonNode question = Runners.MAPPER.readTree(exchange.getRequestBody().readAllBytes());
+          StringBuilder rows = new StringBuilder();
+          for (JsonNode worker : question.path("workers")) {
+            rows.append(rows.length() == 0 ? "" : ",")
+                .append("[\"" + worker.asText() + "\",\"")
+                .append(Runners.ticket(question.path("step").asText(), worker.asText()) + "\"]");
+          }
+          pause(20 + question.path("workers").size());
+          record.write("advice on " + question);
+          byte[] bytes = ("{\"approved\":[" + rows + "]}").getBytes(StandardCharsets.UTF_8);
+          exchange.sendResponseHeaders(200, bytes.length);
+          exchange.getResponseBody().write(bytes);
+          exchange.close();
+        });
+    server.start();
+    return server;
+  }
+
   private static void submit(
       Deployment deployment, String path, int tasks, int millicores, int estimateMs)
       throws Deployment.Setup {
@@ -166,35 +198,101 @@
   }
 
   /**
-   * A runner is lost; a submission that only this runner has room for is accepted right after. It
-   * can't begin, so it is pending. Judged is the count of the queue from visible_ms + 2 s after the
-   * acknowledgement on.
+   * A queue with advice is removed from the config while a submission to it is at work. Judged as
+   * LOST is: for 3 s, nothing of the submission runs while a subtask's turn has come and the
+   * service is idle.
+   */
+  private static int removedQueue(Record record, boolean trouble) throws Exception {
+    HttpServer platform = platform();
+    HttpServer adviser = adviser(record);
+    String advised =
+        route("a", "/a/").replace(
+            "\"stretch\":1.6",
+            "\"stretch\":1.6,\"advice\":{\"decision_ms\":20,\"period_ms\":1,"
+                + "\"validity_ms\":5000}");
+    try (Deployment deployment = new Deployment(record, address(platform), address(adviser));
+        Runners runners = new Runners(record)) {
+      deployment.install(configuration(1, route("r", "/q/") + "," + advised), 30);
+      runners.requireTickets();
+      runners.add(deployment, "i-7f3a91c2", "s", 2_000);
+      runners.add(deployment, "i-0b8d44e7", "s", 2_000);
+      pause(3_000);
+      String body =
+          "{\"spec\":\"work\",\"steps\":[{\"count\":2,\"cpu\":1000,\"mem_mb\":100,"
+              + "\"estimate_ms\":2000},{\"count\":3,\"cpu\":1000,\"mem_mb\":100,"
+              + "\"estimate_ms\":2000,\"depends_on\":[0]}]}";
+      Deployment.Answer answer = deployment.entry("POST", "/a/00000000000000d1", body);
+      record.write("POST /a/00000000000000d1 " + body + " -> " + answer.status());
+      if (answer.status() != 200) {
+        return 2;
+      }
+      awaitStarts(runners, 2);
+      String routes = trouble ? route("r", "/q/") : route("r", "/q/") + "," + advised;
+      deployment.install(configuration(2, routes), 10);
+      pause(17_000);
+      int startsBefore = runners.starts();
+      boolean atWork = false;
+      for (int look = 0; look < 30; look++) {
+        atWork |= runners.atWork() > 0;
+        pause(100);
+      }
+      Deployment.Answer state = deployment.entry("GET", "/a/00000000000000d1", "");
+      record.write("GET /a/00000000000000d1 -> " + state.status() + " " + state.body());
+      record.write("starts " + runners.starts() + " of 5 subtasks; runs at work: " + atWork);
+      return !atWork && runners.starts() == startsBefore && runners.starts() < 5 ? 1 : 0;
+    } finally {
+      platform.stop(0);
+      adviser.stop(0);
+    }
+  }
+
+  /**
+   * An entry freezes just before a client's POST reaches it. The client leaves without an answer
+   * and cancels at the other entry, which acknowledges. Judged is whether a subtask starts later
+   * than cancel_ms after that.
    */
-  private static int pending(Record record, boolean trouble) throws Exception {
+  private static int lateAfterCancel(Record record, boolean trouble) throws Exception {
     HttpServer platform = platform();
     try (Deployment deployment = new Deployment(record, address(platform));
         Runners runners = new Runners(record)) {
       deployment.install(CONFIGURATION, 30);
-      Runners.Runner large = runners.add(deployment, "i-7f3a91c2", "s", 500);
+      runners.add(deployment, "i-7f3a91c2", "s", 3_000);
       pause(4_000);
+      submit(deployment, "/t/00000000000000e0", 1, 1_000, 500);
+      pause(4_000);
+      int startsBefore = runners.starts();
       if (trouble) {
-        large.close();
-        record.write("the only runner crashes and is lost for good");
+        deployment.signal("entry", "STOP");
       }
-      submit(deployment, "/q/00000000000000c1", 1, 20_000, 500);
-      pause(5_500);
-      boolean broken = false;
-      for (int look = 0; look < 20; look++) {
-        Deployment.Answer queue = deployment.entry("GET", "/q/", "");
-        Deployment.Answer state = deployment.entry("GET", "/q/00000000000000c1", "");
-        record.write(
-            "starts " + runners.starts() + "; GET /q/ -> " + queue.status() + " " + queue.body()
-                + "; GET /q/00000000000000c1 -> " + state.status() + " " + state.body());
-        broken |=
-            runners.starts() == 0 && queue.status() == 200 && queue.body().contains(":0}");
-        pause(500);
+      long frozenAt = System.nanoTime();
+      String path = "/q/00000000000000e1";
+      String body =
+          "{\"spec\":\"work\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":100,"
+              + "\"estimate_ms\":3000}]}";
+      Deployment.Answer posted = deployment.entry("POST", path, body, 1_000);
+      record.write("POST " + path + " at the entry -> " + posted.status());
+      Deployment.Answer cancelled = deployment.secondEntry("DELETE", path, "");
+      long acknowledgedAt = System.nanoTime();
+      record.write("DELETE " + path + " at the second entry -> " + cancelled.status());
+      if (cancelled.status() != 200 && cancelled.status() != 410) {
+        return 2;
       }
-      return broken ? 1 : 0;
+      int startsAtCancel = trouble ? startsBefore : runners.starts();
+      pause(Math.max(0, 5_000 - (System.nanoTime() - frozenAt) / 1_000_000));
+      if (trouble) {
+        deployment.signal("entry", "CONT");
+      }
+      pause(8_000);
+      Deployment.Answer state = deployment.secondEntry("GET", path, "");
+      record.write("GET " + path + " -> " + state.status() + " " + state.body());
+      record.write(
+          "starts after the cancelling: " + (runners.starts() - startsAtCancel)
+              + "; ms from its acknowledgement to the last start: "
+              + (runners.lastStartAt() - acknowledgedAt) / 1_000_000);
+      return runners.starts() > startsAtCancel
+              && runners.lastStartAt() - acknowledgedAt > 3_000_000_000L
+          ? 1
+          : 0;
     } finally {
       platform.stop(0);
     }
--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -22,7 +22,11 @@
  */
 final class Deployment implements AutoCloseable {
   static final int CONTROLS = 3;
+  /** The host name of all queues, which the Host header of a client's request gives. */
+  static final String HOST = "queue.example";
+
   static final String ENTRY_IP = "127.0.0.9";
+  static final String SECOND_ENTRY_IP = "127.0.0.10";
 
   final Record record;
   final int controlPort;
@@ -39,6 +43,10 @@
           .build();
 
   Deployment(Record record, String platformAddress) throws IOException {
+    this(record, platformAddress, "");
+  }
+
+  Deployment(Record record, String platformAddress, String adviser) throws IOException {
     this.record = record;
     this.repository = Path.of("").toAbsolutePath();
     this.folder = Files.createTempDirectory(repository.resolve("review/target"), "case-");
@@ -74,18 +82,16 @@
                 "bounds.maintenance_s=2",
                 "bounds.lease_ms=3000",
                 "bounds.fencing_enforced=false",
-                "cloud_api.address=" + platformAddress)
+                "cloud_api.address=" + platformAddress,
+                "advice=" + adviser)
             + "\n";
     Runtime.getRuntime()
         .addShutdownHook(new Thread(() -> processes.values().forEach(Process::destroyForcibly)));
     for (int number = 1; number <= CONTROLS; number++) {
       startControl(number);
     }
-    start(
-        "entry",
-        "entry",
-        "ip=" + ENTRY_IP + "\nlisten_addrs.frontend=" + ENTRY_IP + ":" + entryPort
-            + "\nlisten_addrs.readiness=" + ENTRY_IP + ":" + ports.get(4) + "\n");
+    startEntry("entry", ENTRY_IP, ports.get(4));
+    startEntry("entry-2", SECOND_ENTRY_IP, ports.get(4));
   }
 
   static List<Integer> freePorts(int count) throws IOException {
@@ -117,6 +123,14 @@
             + "\ndata_dir=" + data + "\n");
   }
 
+  private void startEntry(String name, String ip, int readinessPort) throws IOException {
+    start(
+        name,
+        "entry",
+        "ip=" + ip + "\nlisten_addrs.frontend=" + ip + ":" + entryPort
+            + "\nlisten_addrs.readiness=" + ip + ":" + readinessPort + "\n");
+  }
+
   /** Starts a role with the command of the deploy file, in the repository's root. */
   private void start(String name, String role, String settings) throws IOException {
     Path file = folder.resolve(name + ".conf");
@@ -150,7 +164,19 @@
 
   /** Sends to the entry, as a client does. */
   Answer entry(String method, String path, String body) {
-    return exchange(method, "http://" + ENTRY_IP + ":" + entryPort + path, body, 4_000, 0);
+    return entry(method, path, body, 4_000);
+  }
+
+  /** Sends to the entry, as a client that gives up after a time. */
+  Answer entry(String method, String path, String body, int patienceMs) {
+    return exchange(
+        method, "http://" + ENTRY_IP + ":" + entryPort + path, body, patienceMs, 0);
+  }
+
+  /** Sends to the second entry, as a client does. */
+  Answer secondEntry(String method, String path, String body) {
+    return exchange(
+        method, "http://" + SECOND_ENTRY_IP + ":" + entryPort + path, body, 4_000, 0);
   }
 
   /** Sends to the control processes in turn until one answers, following up to two redirects. */
@@ -171,7 +197,8 @@
           HttpRequest.newBuilder(URI.create(url))
               .timeout(Duration.ofMillis(timeoutMs))
               .header("Content-Type", "application/json")
-              .header("X-Deadline-Ms", Integer.toString(timeoutMs - 500))
+              .header("Host", HOST)
+              .header("X-Deadline-Ms", "3000")
               .method(method, HttpRequest.BodyPublishers.ofString(body));
       HttpResponse<String> response =
           http.send(request.build(), HttpResponse.BodyHandlers.ofString());
--- a/review/standin/Runners.java
+++ b/review/standin/Runners.java
@@ -16,7 +16,7 @@
 
 /** Runner stand-ins that follow PROTOCOL.md, and the check of the rule TWICE over all of them. */
 final class Runners implements AutoCloseable {
-  private static final ObjectMapper MAPPER = new ObjectMapper();
+  static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int MAX_HOLD_MS = 6_000;
   private static final int STOP_MS = 100;
   private static final int HEARTBEAT_MS = 1_500;
@@ -26,6 +26,8 @@
   private final Map<String, String> atWork = new HashMap<>();
   private final List<String> broken = new ArrayList<>();
   private int starts;
+  private long lastStartAt;
+  private volatile boolean ticketsRequired;
 
   Runners(Record record) {
     this.record = record;
@@ -51,13 +53,29 @@
     return atWork.size();
   }
 
+  /** From now on, a start needs the ticket of its step and runner. */
+  void requireTickets() {
+    ticketsRequired = true;
+  }
+
+  /** Returns the ticket for a step (ID.K.STEP) on a runner. */
+  static String ticket(String step, String runner) {
+    return "ticket-" + step + "-" + runner;
+  }
+
   /** Returns the address of a runner that has runs at work. */
   String atWorkAddress() {
     return all.stream().filter(Runner::isAtWork).findFirst().orElseThrow().address;
   }
 
+  /** Returns the steady time of the last start, in nanoseconds. */
+  synchronized long lastStartAt() {
+    return lastStartAt;
+  }
+
   private synchronized void onStart(String task, int run, String runner) {
     starts++;
+    lastStartAt = System.nanoTime();
     String other = atWork.put(task, runner + " run " + run);
     if (other != null) {
       String line =
@@ -181,6 +199,9 @@
           } else if (number <= highestEnded.getOrDefault(task, 0) || present != null) {
             extend(expires);
             reason = "old";
+          } else if (ticketsRequired
+              && !order.path("ticket").asText().equals(ticket(stepOf(task), id))) {
+            reason = "ticket";
           } else {
             extend(expires);
             running.put(task, new Run(number, clock() + workMs, workMs));
@@ -197,6 +218,10 @@
       }
     }
 
+    private String stepOf(String task) {
+      return task.substring(0, task.lastIndexOf('.'));
+    }
+
     private void stop(HttpExchange exchange, JsonNode order) throws IOException {
       String task = order.path("task").asText();
       int number = order.path("run_id").asInt();
