--- a/review/1/run.sh
+++ /dev/null
@@ -1,7 +0,0 @@
-#!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-set -uo pipefail
-cd "$(dirname "$0")/../.."
-[ -d review/target/classes ] || exit 2
-exec timeout 110 java -Xmx128m -cp "review/target/classes:platform/target/lib/*" \
-  Cases wide-submission review/1/record.txt
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.."
 [ -d review/target/classes ] || exit 2
 exec timeout 110 java -Xmx128m -cp "review/target/classes:platform/target/lib/*" \
-  Cases foreign-report review/2/record.txt
+  Cases wide-submission review/2/record.txt
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.."
 [ -d review/target/classes ] || exit 2
 exec timeout 110 java -Xmx128m -cp "review/target/classes:platform/target/lib/*" \
-  Cases removed-queue review/3/record.txt
+  Cases foreign-report review/3/record.txt
