--- a/review/standin/Cases.java
+++ b/review/standin/Cases.java
@@ -42,7 +42,7 @@
             };
       } catch (Deployment.Setup notRun) {
         record.write("could not run: " + notRun.getMessage());
-      } catch (RuntimeException | java.io.IOException failure) {
+      } catch (Exception failure) {
         record.write("could not run: " + failure);
       }
       record.write("exit " + code);
