Log and count commands of the leader that are not committed

Two explanations fit what was logged: no scheduling round decides on starts, or their commit fails. A failed commit left no trace.

Metric: commits.failed.<command>.

--- a/core/src/main/java/org/verbenawheel/event/Event.java
+++ b/core/src/main/java/org/verbenawheel/event/Event.java
@@ -60,6 +60,8 @@
   MEMBERS_CHANGED,
   /** A part of the replicated state threw an unchecked exception when it applied a command. */
   COMMAND_FAULTED,
+  /** A command of the leader's own was not committed, or is not known to be. */
+  COMMAND_NOT_COMMITTED,
 
   /** A configuration version took effect in this process. */
   CONFIGURATION_IN_FORCE,
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -10,6 +10,7 @@
 import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -36,6 +37,7 @@
 import org.verbenawheel.queue.FleetConfigurationState;
 import org.verbenawheel.queue.InstallConfiguration;
 import org.verbenawheel.replication.CommandEnvelope;
+import org.verbenawheel.replication.CommandNotCommittedException;
 import org.verbenawheel.replication.CommandReply;
 import org.verbenawheel.replication.ControlCommand;
 import org.verbenawheel.replication.Member;
@@ -43,6 +45,7 @@
 import org.verbenawheel.replication.ReplicaProcess;
 import org.verbenawheel.replication.ReplicaStatus;
 import org.verbenawheel.replication.ReplicationTimings;
+import org.verbenawheel.request.RunVerdict;
 import org.verbenawheel.supervision.SupervisedPart;
 import org.verbenawheel.wave.Wave;
 import org.verbenawheel.wave.WaveCommands.StartWave;
@@ -331,7 +334,27 @@
     Timer.Context timing = metrics.timer("commits." + command.getClass().getSimpleName()).time();
     return replica
         .submitAsLeader(new CommandEnvelope(Optional.empty(), command))
-        .whenComplete((reply, failure) -> timing.stop());
+        .whenComplete(
+            (reply, failure) -> {
+              timing.stop();
+              if (failure != null) {
+                onNotCommitted(command, failure);
+              }
+            });
+  }
+
+  private void onNotCommitted(ControlCommand command, Throwable failure) {
+    metrics.counter("commits.failed." + command.getClass().getSimpleName()).inc();
+    RunVerdict verdict =
+        failure instanceof CommandNotCommittedException notCommitted
+            ? notCommitted.verdict()
+            : RunVerdict.MAY_HAVE_RUN;
+    logger.atWarning().atMostEvery(100, TimeUnit.MILLISECONDS).log(
+        "%s",
+        EventLine.of(Event.COMMAND_NOT_COMMITTED)
+            .with("command", command.getClass().getSimpleName())
+            .with("verdict", verdict)
+            .with("reason", failure.getMessage()));
   }
 
   @Override
