Commit starts and ends of runs in parts that a command can hold

Cause: a round committed all its starts as one RecordStarts. The log refuses commands over 1 MiB; the round dropped the refusal and the next one decided on the same starts. Ruled out: rounds that decide nothing (each sent a command), workers without room (both idle).

Fix: CommandSize holds the limit and tells how many elements share a command. EndRecorder has the same shape (RecordEnds of a lost worker, of thousands of listed ends, and again on each tick until committed) and does the same; an end recorded again before its commit is committed once; a checkpoint that no command can hold is dropped with a line, and its task starts anew.

--- a/core/src/main/java/org/verbenawheel/execution/EndRecorder.java
+++ b/core/src/main/java/org/verbenawheel/execution/EndRecorder.java
@@ -1,18 +1,22 @@
 package org.verbenawheel.execution;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Iterables;
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Executor;
 import org.verbenawheel.event.Event;
 import org.verbenawheel.event.EventLine;
 import org.verbenawheel.job.JobCommands.RecordEnds;
 import org.verbenawheel.job.JobCommands.RunEnd;
+import org.verbenawheel.replication.CommandSize;
 
 /**
- * Commits the ends of runs. Ends that arrive during a commit are batched into the next one.
- * Confined to the state thread.
+ * Commits the ends of runs, as many in one command as fit. An end that is recorded again before it
+ * is committed is committed once. Confined to the state thread.
  */
 final class EndRecorder {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -20,8 +24,7 @@
   private final CommandSink sink;
   private final Executor stateThread;
   private final Runnable onRecorded;
-  private List<RunEnd> pendingEnds = new ArrayList<>();
-  private List<Runnable> pendingCallbacks = new ArrayList<>();
+  private final Map<RunKey, PendingEnd> pending = new LinkedHashMap<>();
   private boolean committing;
 
   /**
@@ -41,42 +44,67 @@
    * Commits ends of runs.
    *
    * @param ends how runs ended
-   * @param callback runs once the ends are committed; never if they are not known to be committed
+   * @param callback runs once all the ends are committed; never if one is not known to be committed
    */
   void record(List<RunEnd> ends, Runnable callback) {
-    pendingEnds.addAll(ends);
-    this.pendingCallbacks.add(callback);
-    commitPending();
+    Request request = new Request(callback);
+    for (RunEnd end : ends) {
+      PendingEnd pendingEnd =
+          pending.computeIfAbsent(
+              new RunKey(end.task(), end.run()), unused -> new PendingEnd(toCommittable(end)));
+      pendingEnd.requests.add(request);
+      request.uncommitted++;
+    }
+    if (request.uncommitted == 0) {
+      callback.run();
+    }
+    commitNextPart();
   }
 
-  private void commitPending() {
-    if (committing || pendingCallbacks.isEmpty()) {
-      return;
+  /** Removes a checkpoint that no command can hold; the task starts from its beginning again. */
+  private static RunEnd toCommittable(RunEnd end) {
+    if (end.maximumEncodedBytes() <= CommandSize.MAXIMUM_BYTES) {
+      return end;
     }
-    List<RunEnd> ends = pendingEnds;
-    List<Runnable> callbacks = pendingCallbacks;
-    pendingEnds = new ArrayList<>();
-    pendingCallbacks = new ArrayList<>();
-    if (ends.isEmpty()) {
-      callbacks.forEach(Runnable::run);
+    logger.atWarning().log(
+        "%s",
+        EventLine.of(Event.MESSAGE_REJECTED)
+            .with("what", "checkpoint of " + end.task())
+            .with("problem", "it is too long for a command")
+            .with("characters", end.checkpoint().length()));
+    return new RunEnd(end.task(), end.run(), end.ending(), "");
+  }
+
+  private void commitNextPart() {
+    if (committing || pending.isEmpty()) {
       return;
     }
     committing = true;
+    int count =
+        CommandSize.countInOnePart(
+            pending.values(), pendingEnd -> pendingEnd.end.maximumEncodedBytes());
+    ImmutableList<PendingEnd> part = ImmutableList.copyOf(Iterables.limit(pending.values(), count));
+    ImmutableList<RunEnd> ends =
+        part.stream().map(pendingEnd -> pendingEnd.end).collect(ImmutableList.toImmutableList());
     var unused =
-        sink.commit(new RecordEnds(ImmutableList.copyOf(ends)))
+        sink.commit(new RecordEnds(ends))
             .whenComplete(
-                (reply, failure) ->
-                    stateThread.execute(() -> onCommitted(ends, callbacks, failure == null)));
+                (reply, failure) -> stateThread.execute(() -> onCommitted(part, failure == null)));
   }
 
-  private void onCommitted(List<RunEnd> ends, List<Runnable> callbacks, boolean committed) {
+  private void onCommitted(ImmutableList<PendingEnd> part, boolean committed) {
     committing = false;
+    for (PendingEnd pendingEnd : part) {
+      pending.remove(new RunKey(pendingEnd.end.task(), pendingEnd.end.run()));
+      if (committed) {
+        log(pendingEnd.end);
+        pendingEnd.requests.forEach(Request::onEndCommitted);
+      }
+    }
     if (committed) {
-      ends.forEach(EndRecorder::log);
-      callbacks.forEach(Runnable::run);
       onRecorded.run();
     }
-    commitPending();
+    commitNextPart();
   }
 
   private static void log(RunEnd end) {
@@ -87,4 +115,34 @@
             .with("run", end.run())
             .with("ending", end.ending()));
   }
+
+  /** Identifies a run. */
+  private record RunKey(String task, int run) {}
+
+  /** An end that is not committed yet, and the requests to record it. */
+  private static final class PendingEnd {
+    private final RunEnd end;
+    private final List<Request> requests = new ArrayList<>();
+
+    PendingEnd(RunEnd end) {
+      this.end = end;
+    }
+  }
+
+  /** One call of {@link #record}. */
+  private static final class Request {
+    private final Runnable callback;
+    private int uncommitted;
+
+    Request(Runnable callback) {
+      this.callback = callback;
+    }
+
+    void onEndCommitted() {
+      uncommitted--;
+      if (uncommitted == 0) {
+        callback.run();
+      }
+    }
+  }
 }
--- a/core/src/main/java/org/verbenawheel/execution/SchedulingRounds.java
+++ b/core/src/main/java/org/verbenawheel/execution/SchedulingRounds.java
@@ -23,6 +23,7 @@
 import org.verbenawheel.job.Task;
 import org.verbenawheel.job.TaskId;
 import org.verbenawheel.queue.FleetConfigurationState;
+import org.verbenawheel.replication.CommandSize;
 import org.verbenawheel.scheduling.FreeCapacity;
 import org.verbenawheel.scheduling.JobScheduler;
 import org.verbenawheel.scheduling.SchedulingResult;
@@ -171,9 +172,17 @@
       TaskId.parse(start.task())
           .ifPresent(task -> requireSession(start.worker()).orders().onBinding(task, start.run()));
     }
+    commitNextPart(starts);
+  }
+
+  /** Commits as many of the starts as fit into one command, and the others after them. */
+  private void commitNextPart(ImmutableList<RunStart> starts) {
+    int count = CommandSize.countInOnePart(starts, RunStart::maximumEncodedBytes);
+    ImmutableList<RunStart> part = starts.subList(0, count);
+    ImmutableList<RunStart> later = starts.subList(count, starts.size());
     context.whenDone(
-        sink.commit(new RecordStarts(starts)),
-        (reply, failure) -> onBound(starts, failure == null));
+        sink.commit(new RecordStarts(part)),
+        (reply, failure) -> onBound(part, later, failure == null));
   }
 
   private WorkerSession requireSession(String worker) {
@@ -181,16 +190,29 @@
         sessions.get(worker), "the scheduler chose a worker without a session");
   }
 
-  private void onBound(ImmutableList<RunStart> starts, boolean committed) {
+  private void onBound(
+      ImmutableList<RunStart> part, ImmutableList<RunStart> later, boolean committed) {
+    if (!ended && committed) {
+      part.forEach(this::startRun);
+      if (!later.isEmpty()) {
+        commitNextPart(later);
+        return;
+      }
+    }
     bindingInFlight = false;
     workersBeingBound = ImmutableSet.of();
-    if (ended) {
-      return;
+    if (!ended) {
+      later.forEach(this::cancelBinding);
+      runIfRequested();
     }
-    if (committed) {
-      starts.forEach(this::startRun);
+  }
+
+  /** Removes the attempt of a start that was not sent to be committed. */
+  private void cancelBinding(RunStart start) {
+    WorkerSession session = sessions.get(start.worker());
+    if (session != null) {
+      TaskId.parse(start.task()).ifPresent(session.orders()::onNotBound);
     }
-    runIfRequested();
   }
 
   private void startRun(RunStart start) {
--- a/core/src/main/java/org/verbenawheel/job/JobCommands.java
+++ b/core/src/main/java/org/verbenawheel/job/JobCommands.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import org.verbenawheel.replication.CommandReply;
+import org.verbenawheel.replication.CommandSize;
 import org.verbenawheel.replication.ControlCommand;
 
 /**
@@ -65,7 +66,12 @@
    * @param run the number of the run, higher than those before; the same for all members of a gang
    * @param worker the id of the worker that is to run it
    */
-  public record RunStart(String task, int run, String worker) {}
+  public record RunStart(String task, int run, String worker) {
+    /** Returns an upper limit of the length in a command, in bytes. */
+    public int maximumEncodedBytes() {
+      return CommandSize.ofRecord(task, worker);
+    }
+  }
 
   /**
    * Records how runs ended. The leader commits it before the workers may delete their results.
@@ -82,7 +88,12 @@
    * @param ending how it ended
    * @param checkpoint the checkpoint that the next run can resume from; empty if it made none
    */
-  public record RunEnd(String task, int run, RunEnding ending, String checkpoint) {}
+  public record RunEnd(String task, int run, RunEnding ending, String checkpoint) {
+    /** Returns an upper limit of the length in a command, in bytes. */
+    public int maximumEncodedBytes() {
+      return CommandSize.ofRecord(task, ending.name(), checkpoint);
+    }
+  }
 
   /**
    * Replies to {@link AcceptJob} and {@link CancelJob}.
--- a/core/src/main/java/org/verbenawheel/replication/CommandSubmitter.java
+++ b/core/src/main/java/org/verbenawheel/replication/CommandSubmitter.java
@@ -13,9 +13,6 @@
 
 /** Submits commands to this process's replica, for local callers and for other processes. */
 final class CommandSubmitter {
-  /** The maximum length of an encoded command. */
-  static final int MAXIMUM_COMMAND_BYTES = 1024 * 1024;
-
   private final ProcessId self;
   private final MessageCodec codec;
 
@@ -36,9 +33,12 @@
       return refused("this replica is not running");
     }
     int length = command.command().length();
-    if (length > MAXIMUM_COMMAND_BYTES) {
+    if (length > CommandSize.MAXIMUM_BYTES) {
       return refused(
-          "the command has " + length + " bytes; the limit in bytes is " + MAXIMUM_COMMAND_BYTES);
+          "the command has "
+              + length
+              + " bytes; the limit in bytes is "
+              + CommandSize.MAXIMUM_BYTES);
     }
     CompletableFuture<CommandReply> reply = new CompletableFuture<>();
     replica.propose(CommandEncoding.encode(command.commandId(), command.command()), reply);
--- a/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
+++ b/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
@@ -77,6 +77,12 @@
         .collect(ImmutableSet.toImmutableSet());
   }
 
+  /** Returns whether a run of a task is in progress. */
+  boolean isRunning(String task) {
+    expire();
+    return running.containsKey(task);
+  }
+
   /** Keeps the listed progress of all tasks at a fixed percentage. */
   void setPercent(int value) {
     percent = Optional.of(value);
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -14,6 +14,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.verbenawheel.codec.MessageCodec;
 import org.verbenawheel.host.HostOrderRegistry;
 import org.verbenawheel.job.JobCommands.AcceptJob;
 import org.verbenawheel.job.JobCommands.CancelJob;
@@ -22,11 +23,14 @@
 import org.verbenawheel.job.JobRegistry;
 import org.verbenawheel.job.JobSpecification;
 import org.verbenawheel.job.StepSpecification;
+import org.verbenawheel.peer.MessageKinds;
 import org.verbenawheel.queue.FleetConfigurationState;
 import org.verbenawheel.replication.ApplyContext;
+import org.verbenawheel.replication.CommandNotCommittedException;
 import org.verbenawheel.replication.CommandReply;
 import org.verbenawheel.replication.ControlCommand;
 import org.verbenawheel.replication.StatePart;
+import org.verbenawheel.request.RunVerdict;
 import org.verbenawheel.wave.WaveRegistry;
 import org.verbenawheel.worker.Worker;
 import org.verbenawheel.worker.WorkerRegistry;
@@ -53,11 +57,17 @@
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
 
+  /** The limit of the replicated log. */
+  private static final int MAXIMUM_COMMAND_BYTES = 1024 * 1024;
+
   private final JobRegistry jobRegistry = new JobRegistry(Duration.ofMinutes(2));
   private final WorkerRegistry registry = new WorkerRegistry();
   private final FleetConfigurationState configuration = new FleetConfigurationState();
   private final WaveRegistry waves = new WaveRegistry();
   private final HostOrderRegistry hostOrders = new HostOrderRegistry();
+  private final ImmutableList<StatePart> parts =
+      ImmutableList.of(jobRegistry, registry, configuration, waves, hostOrders);
+  private final MessageCodec codec = codecOf(parts);
   private final Map<String, FakeWorker> workers = new LinkedHashMap<>();
   private final FakeHosts hosts = new FakeHosts(workers);
   private final FakeAdviser adviser = new FakeAdviser();
@@ -68,11 +78,23 @@
   private final MetricRegistry metrics = new MetricRegistry();
   private Instant now = START;
   private boolean holdsCommits;
+  private int longestCommandBytes;
   private long index;
   private long sequence;
   private long term = 1;
   private FleetLeadership leadership = begin();
 
+  private static MessageCodec codecOf(ImmutableList<StatePart> parts) {
+    MessageKinds.Builder kinds = MessageKinds.builder();
+    int number = 0;
+    for (StatePart part : parts) {
+      for (Class<? extends ControlCommand> kind : part.commandKinds()) {
+        kinds.add(number++, kind);
+      }
+    }
+    return new MessageCodec(kinds.build());
+  }
+
   private FleetLeadership begin() {
     return new FleetLeadership.Factory(
             jobRegistry,
@@ -159,6 +181,13 @@
 
   private CompletableFuture<CommandReply> commit(ControlCommand command) {
     CompletableFuture<CommandReply> reply = new CompletableFuture<>();
+    int bytes = codec.encode(command).length;
+    longestCommandBytes = Math.max(longestCommandBytes, bytes);
+    if (bytes > MAXIMUM_COMMAND_BYTES) {
+      reply.completeExceptionally(
+          new CommandNotCommittedException(RunVerdict.NOT_RUN, bytes + " bytes are too many"));
+      return reply;
+    }
     Runnable applied = () -> reply.complete(apply(command));
     if (holdsCommits) {
       heldCommits.add(applied);
@@ -168,9 +197,13 @@
     return reply;
   }
 
+  /** Returns the length of the longest command that the leader sent to be committed. */
+  int longestCommandBytes() {
+    return longestCommandBytes;
+  }
+
   CommandReply apply(ControlCommand command) {
-    for (StatePart part :
-        ImmutableList.of(jobRegistry, registry, configuration, waves, hostOrders)) {
+    for (StatePart part : parts) {
       if (part.commandKinds().contains(command.getClass())) {
         return part.apply(command, new ApplyContext(++index, now));
       }
@@ -265,6 +298,10 @@
     apply(new CancelJob(job, "q"));
   }
 
+  boolean hasActiveJobs() {
+    return !jobRegistry.active().isEmpty();
+  }
+
   JobPhase phase(String job) {
     return jobRegistry.find(job).orElseThrow().phase();
   }
@@ -274,9 +311,7 @@
    */
   void onStarted(String worker, String task) {
     for (Map.Entry<String, FakeWorker> other : workers.entrySet()) {
-      boolean runsThere =
-          !other.getKey().equals(worker)
-              && other.getValue().running().stream().anyMatch(run -> run.startsWith(task + "/"));
+      boolean runsThere = !other.getKey().equals(worker) && other.getValue().isRunning(task);
       if (runsThere) {
         startedTwice.add(task);
       }
