Limit the unanswered orders of a worker

Cause: the order to start goes out as soon as its binding is committed, and a worker has four connections, one of them held by a poll. Thousands of orders waited for a connection until their 0.9 s were over ("no connection within the timeout", "no answer within the timeout": 49 rate-limited lines), were bound anew, raised the fencing token, which invalidated the others, and delayed the polls that extend the lease (7 worker_lost). Ruled out: leases that end on the way (no LEASE_OVER), the length of listings (the platform lists 500 ends at a time), long rounds (no scheduling_slow, no state_thread_delayed).

Fix: a worker is bound to only as many runs as it may be sent now: 64 minus its unanswered starts. Each job may use half of what the more urgent ones left, so that a small job starts beside a wide one; room of tasks that start later is reserved, so neither shortage nor order changes. Gangs start whole. Stop orders of a cancelled job have the same limit. Once half of the starts are answered, the next round is requested.

--- a/core/src/main/java/org/verbenawheel/execution/FleetContext.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetContext.java
@@ -18,6 +18,7 @@
  * @param clock a monotonic clock
  * @param stateThread the thread that owns the state and everything in this package
  * @param endRecorder commits the ends of runs
+ * @param requestRound requests that waiting tasks are bound to workers
  * @param failureTracker quarantines workers that fail tasks which other workers can run
  * @param adviceCache the placement adviser's answers
  * @param firstFencingToken the lowest fencing token of this leadership
@@ -30,6 +31,7 @@
     InstantSource clock,
     Executor stateThread,
     EndRecorder endRecorder,
+    Runnable requestRound,
     WorkerFailureTracker failureTracker,
     AdviceCache adviceCache,
     long firstFencingToken,
--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -69,6 +69,7 @@
             factory.clock,
             factory.stateThread,
             new EndRecorder(factory.sink, factory.stateThread, this::requestRound),
+            this::requestRound,
             new WorkerFailureTracker(),
             new AdviceCache(),
             term * FENCING_TOKENS_PER_TERM,
@@ -260,7 +261,8 @@
             new FreeCapacity(
                 session.worker(),
                 hostMover.isBorrowed(session.worker()),
-                context.failureTracker().failedTasks(session.worker().id()));
+                context.failureTracker().failedTasks(session.worker().id()),
+                session.orders().remainingStarts());
         context.jobRegistry().boundTo(session.worker().id()).forEach(freeCapacity::reserve);
         capacities.add(freeCapacity);
       }
--- a/core/src/main/java/org/verbenawheel/execution/RunOrders.java
+++ b/core/src/main/java/org/verbenawheel/execution/RunOrders.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -30,25 +31,50 @@
 final class RunOrders {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /**
+   * How many start orders, and how many stop orders, a worker may be sent before it answers. An
+   * order that waits too long behind others times out, and its run starts over.
+   */
+  private static final int MAXIMUM_UNANSWERED = 64;
+
+  /** At this number of unanswered starts another round fills them up. */
+  private static final int REFILL_UNANSWERED = MAXIMUM_UNANSWERED / 2;
+
   private final FleetContext context;
   private final WorkerSession session;
   private final Map<TaskId, RunAttempt> attempts = new HashMap<>();
   private final Map<TaskId, Instant> stopsSentAt = new HashMap<>();
   private final Set<TaskId> tasksToStop = new HashSet<>();
+  private int unansweredStarts;
+  private int unansweredStops;
 
   RunOrders(FleetContext context, WorkerSession session) {
     this.context = context;
     this.session = session;
   }
 
+  /** Returns how many runs may be bound to the worker now. */
+  int remainingStarts() {
+    return Math.max(0, MAXIMUM_UNANSWERED - unansweredStarts);
+  }
+
   /** Records that the binding of a run to this worker is about to be committed. */
   void onBinding(TaskId task, int run) {
     attempts.put(task, new RunAttempt(run));
+    unansweredStarts++;
   }
 
   /** Removes a run whose binding did not take effect. */
   void onNotBound(TaskId task) {
     attempts.remove(task);
+    onStartAnswered();
+  }
+
+  private void onStartAnswered() {
+    unansweredStarts--;
+    if (unansweredStarts == REFILL_UNANSWERED) {
+      context.requestRound().run();
+    }
   }
 
   /** Sends the order to start a run that is bound to this worker. */
@@ -58,6 +84,7 @@
     Optional<Long> leaseEnd = session.grantLease(now);
     int run = task.run();
     if (attempt == null || leaseEnd.isEmpty()) {
+      onStartAnswered();
       onNotStarted(task.id(), run, "the worker's clock is unknown");
       return;
     }
@@ -75,6 +102,7 @@
     context.whenDone(
         context.calls().start(session.worker(), order),
         (answer, failure) -> {
+          onStartAnswered();
           if (answer != null) {
             onStartAnswer(task.id(), attempt, answer);
           } else {
@@ -149,26 +177,32 @@
       boolean mustStop = task.job().phase().isTerminal() || tasksToStop.contains(task.id());
       Instant sentAt = stopsSentAt.get(task.id());
       boolean due = sentAt == null || now.isAfter(sentAt.plus(context.timings().stopRetry()));
-      if (mustStop && due) {
+      if (mustStop && due && sendStop(task.id(), task.run())) {
         stopsSentAt.put(task.id(), now);
-        sendStop(task.id(), task.run());
       }
     }
   }
 
-  /** Sends one stop order. */
-  void sendStop(TaskId task, int run) {
+  /** Sends one stop order, unless too many are unanswered; returns whether it was sent. */
+  @CanIgnoreReturnValue
+  boolean sendStop(TaskId task, int run) {
+    if (unansweredStops >= MAXIMUM_UNANSWERED) {
+      return false;
+    }
+    unansweredStops++;
     long token = session.fencingToken();
     Worker stoppedWorker = session.worker();
     context.whenDone(
         context.calls().stop(session.worker(), new StopOrder(task, run, token)),
         (reading, failure) -> {
+          unansweredStops--;
           if (failure != null) {
             logFailedOrder(task, run, "stop: " + failure);
           } else if (stoppedWorker.isSameIncarnation(session.worker())) {
             onStopped(task, run);
           }
         });
+    return true;
   }
 
   /**
--- a/core/src/main/java/org/verbenawheel/scheduling/FreeCapacity.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/FreeCapacity.java
@@ -3,6 +3,8 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
 import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.verbenawheel.job.Job;
 import org.verbenawheel.job.StepSpecification;
 import org.verbenawheel.job.Task;
 import org.verbenawheel.job.TaskId;
@@ -11,6 +13,11 @@
 /**
  * Tracks the free capacity of one worker during one scheduling round, and scores how well the
  * worker suits a task. Not thread-safe.
+ *
+ * <p>A round may send a worker only so many starts, since orders that wait for a connection delay
+ * each other, the polls that extend the worker's lease, and the starts of other jobs. Each job may
+ * use half of the starts that the more urgent ones left, so that a job with thousands of tasks does
+ * not keep the others from starting.
  */
 public final class FreeCapacity {
   private final Worker worker;
@@ -24,6 +31,9 @@
   private int leftoverTasks;
   private int longRunningTasks;
   private int longRunningMillicores;
+  private int startsLeft;
+  private int startsLeftForJob;
+  private @Nullable Job startingJob;
 
   /**
    * Creates the free capacity of a worker on which nothing runs.
@@ -31,19 +41,22 @@
    * @param borrowed whether its host returns to another pool soon, so that long-running tasks
    *     prefer other workers
    * @param failedHere tasks that failed on this worker and prefer any other
+   * @param maximumStarts how many starts the worker may be sent now
    */
-  public FreeCapacity(Worker worker, boolean borrowed, ImmutableSet<TaskId> failedHere) {
+  public FreeCapacity(
+      Worker worker, boolean borrowed, ImmutableSet<TaskId> failedHere, int maximumStarts) {
     this.worker = worker;
     this.borrowed = borrowed;
     this.failedHere = failedHere;
     this.freeMillicores = worker.capacity().cpuMillicores();
     this.freeMegabytes = worker.capacity().memoryMegabytes();
     this.freeAccelerators = worker.capacity().accelerators();
+    this.startsLeft = maximumStarts;
   }
 
   /** Returns a copy on which a placement can be tried. */
   FreeCapacity copy() {
-    FreeCapacity copy = new FreeCapacity(worker, borrowed, failedHere);
+    FreeCapacity copy = new FreeCapacity(worker, borrowed, failedHere, startsLeft);
     copy.tasksOfStep.putAll(tasksOfStep);
     copy.freeMillicores = freeMillicores;
     copy.freeMegabytes = freeMegabytes;
@@ -77,21 +90,65 @@
 
   /** Subtracts what a task reserves. The task is bound to this worker, or about to be. */
   public void reserve(Task task) {
+    reserve(task, 1);
+  }
+
+  /** Subtracts what several tasks of one step reserve. */
+  void reserve(Task task, int count) {
     StepSpecification step = task.step();
-    freeMillicores -= step.reservedMillicores();
-    freeMegabytes -= step.memoryMegabytes();
-    freeAccelerators -= step.accelerators();
-    tasksOfStep.merge(StepKey.of(task), 1, Integer::sum);
+    freeMillicores -= count * step.reservedMillicores();
+    freeMegabytes -= count * step.memoryMegabytes();
+    freeAccelerators -= count * step.accelerators();
+    tasksOfStep.merge(StepKey.of(task), count, Integer::sum);
     if (step.targetMilliseconds() > 0) {
-      servingTasks++;
+      servingTasks += count;
     }
     if (step.fillsLeftover()) {
-      leftoverTasks++;
+      leftoverTasks += count;
     }
     if (step.longRunning()) {
-      longRunningTasks++;
-      longRunningMillicores += step.reservedMillicores();
+      longRunningTasks += count;
+      longRunningMillicores += count * step.reservedMillicores();
+    }
+  }
+
+  /**
+   * Returns whether the worker may be sent the start of a task in this round. A gang starts as a
+   * whole, whatever its size.
+   */
+  boolean acceptsStart(Task task) {
+    if (task.step().gang()) {
+      return true;
+    }
+    if (task.job() != startingJob) {
+      startingJob = task.job();
+      startsLeftForJob = startsLeft - startsLeft / 2;
     }
+    return startsLeftForJob > 0;
+  }
+
+  /** Counts the start of a task in this round. */
+  void onStart() {
+    startsLeft--;
+    startsLeftForJob--;
+  }
+
+  /** Returns how many tasks of a task's step the worker has room for, at most a limit. */
+  int countFitting(Task task, int limit) {
+    StepSpecification step = task.step();
+    int count = limit;
+    count = Math.min(count, quotient(freeMillicores, step.reservedMillicores()));
+    count = Math.min(count, quotient(freeMegabytes, step.memoryMegabytes()));
+    count = Math.min(count, quotient(freeAccelerators, step.accelerators()));
+    if (step.maximumPerWorker() > 0) {
+      int present = tasksOfStep.getOrDefault(StepKey.of(task), 0);
+      count = Math.min(count, step.maximumPerWorker() - present);
+    }
+    return Math.max(0, count);
+  }
+
+  private static int quotient(int free, int needed) {
+    return needed == 0 ? Integer.MAX_VALUE : free / needed;
   }
 
   /** Returns whether the worker could run the task if it ran nothing else. */
--- a/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/JobScheduler.java
@@ -152,7 +152,11 @@
         Task task = waiting.get(index);
         Optional<FreeCapacity> worker = capacity.bestWorker(task, isPermitted);
         if (worker.isEmpty()) {
-          recordShortage(task, waiting.size() - index, capacity);
+          int left = waiting.size() - index;
+          int placedLater = capacity.reserveForLater(task, left, isPermitted);
+          if (placedLater < left) {
+            recordShortage(task, left - placedLater, capacity);
+          }
           return;
         }
         start(task, task.run() + 1, worker.get(), capacity);
--- a/core/src/main/java/org/verbenawheel/scheduling/PoolCapacity.java
+++ b/core/src/main/java/org/verbenawheel/scheduling/PoolCapacity.java
@@ -33,20 +33,19 @@
   }
 
   /**
-   * Returns the worker that suits a task best among those that can run it now; the first of equals.
+   * Returns the worker that suits a task best among those that can run it and may be sent its start
+   * now; the first of equals.
    *
    * @param isPermitted whether the policy of the job's queue lets a worker run the task
    */
   Optional<FreeCapacity> bestWorker(Task task, Predicate<Worker> isPermitted) {
-    StepSpecification step = task.step();
-    if (step.reservedMillicores() > largestFreeMillicores
-        || step.memoryMegabytes() > largestFreeMegabytes) {
+    if (fitsNowhere(task.step())) {
       return Optional.empty();
     }
     @Nullable FreeCapacity best = null;
     long bestPreference = Long.MIN_VALUE;
     for (FreeCapacity worker : workers) {
-      if (worker.canRun(task) && isPermitted.test(worker.worker())) {
+      if (worker.canRun(task) && worker.acceptsStart(task) && isPermitted.test(worker.worker())) {
         long preference = worker.preferenceFor(task);
         if (best == null || preference > bestPreference) {
           best = worker;
@@ -57,6 +56,11 @@
     return Optional.ofNullable(best);
   }
 
+  private boolean fitsNowhere(StepSpecification step) {
+    return step.reservedMillicores() > largestFreeMillicores
+        || step.memoryMegabytes() > largestFreeMegabytes;
+  }
+
   /**
    * Returns whether at least a share of the processor time is free, not counting what long-running
    * tasks hold.
@@ -71,9 +75,41 @@
     return free >= total * share;
   }
 
-  /** Subtracts what a task reserves from one of the workers. */
+  /** Subtracts what a task that starts in this round reserves from one of the workers. */
   void reserve(FreeCapacity worker, Task task) {
     worker.reserve(task);
+    worker.onStart();
+    updateLargest();
+  }
+
+  /**
+   * Reserves room for tasks of one step that start in a later round, since the workers with room
+   * for them may not be sent more starts now.
+   *
+   * @param task one of the tasks
+   * @param count how many tasks there are
+   * @param isPermitted whether the policy of the job's queue lets a worker run the tasks
+   * @return how many of them have room
+   */
+  int reserveForLater(Task task, int count, Predicate<Worker> isPermitted) {
+    if (fitsNowhere(task.step())) {
+      return 0;
+    }
+    int placed = 0;
+    for (FreeCapacity worker : workers) {
+      if (worker.canRun(task) && isPermitted.test(worker.worker())) {
+        int fitting = worker.countFitting(task, count - placed);
+        worker.reserve(task, fitting);
+        placed += fitting;
+      }
+    }
+    if (placed > 0) {
+      updateLargest();
+    }
+    return placed;
+  }
+
+  private void updateLargest() {
     largestFreeMillicores = 0;
     largestFreeMegabytes = 0;
     workers.forEach(this::include);
--- a/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
+++ b/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
@@ -46,6 +46,9 @@
   private boolean unreachable;
   private boolean loseNextStart;
   private boolean loseNextAnswer;
+  private boolean holdsAnswers;
+  private final List<Runnable> heldAnswers = new ArrayList<>();
+  private int mostUnanswered;
 
   FakeWorker(String id, FleetHarness harness, long born) {
     this.id = id;
@@ -105,6 +108,31 @@
     unreachable = value;
   }
 
+  /** Leaves start and stop orders unanswered until it is called with false. */
+  void holdAnswers(boolean value) {
+    holdsAnswers = value;
+    if (!value) {
+      List<Runnable> answers = ImmutableList.copyOf(heldAnswers);
+      heldAnswers.clear();
+      answers.forEach(Runnable::run);
+    }
+  }
+
+  /** Returns the largest number of orders that were unanswered at the same time. */
+  int mostUnanswered() {
+    return mostUnanswered;
+  }
+
+  private <T> CompletableFuture<T> answer(T value) {
+    if (!holdsAnswers) {
+      return CompletableFuture.completedFuture(value);
+    }
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    heldAnswers.add(() -> answer.complete(value));
+    mostUnanswered = Math.max(mostUnanswered, heldAnswers.size());
+    return answer;
+  }
+
   void loseNextStart() {
     loseNextStart = true;
   }
@@ -151,7 +179,7 @@
       loseNextAnswer = false;
       return lost();
     }
-    return CompletableFuture.completedFuture(new StartAnswer(outcome, Optional.of(clock())));
+    return answer(new StartAnswer(outcome, Optional.of(clock())));
   }
 
   private StartOutcome carryOut(StartOrder order) {
@@ -187,7 +215,7 @@
     if (running.getOrDefault(task, 0) == order.run()) {
       end(task, RunEnding.STOPPED);
     }
-    return CompletableFuture.completedFuture(clock());
+    return answer(clock());
   }
 
   CompletableFuture<Listing> poll(PollRequest order) {
--- a/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerExperiment.java
+++ b/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerExperiment.java
@@ -82,7 +82,7 @@
               new Worker.Capacity(32_000, 65_536, 0),
               ImmutableList.of("a", "r" + number / 4),
               false);
-      candidates.add(new FreeCapacity(worker, false, ImmutableSet.of()));
+      candidates.add(new FreeCapacity(worker, false, ImmutableSet.of(), Integer.MAX_VALUE));
     }
     return candidates;
   }
--- a/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerTest.java
+++ b/core/src/test/java/org/verbenawheel/scheduling/JobSchedulerTest.java
@@ -39,6 +39,7 @@
   private final List<Worker> workers = new ArrayList<>();
   private final Map<String, ImmutableSet<TaskId>> failedTasksByWorker = new HashMap<>();
   private Instant now = START;
+  private int maximumStarts = Integer.MAX_VALUE;
   private long index;
 
   @Test
@@ -293,6 +294,46 @@
         .containsExactly("v");
   }
 
+  // One job with thousands of tasks would take all starts of each round, and no other job began.
+  @Test
+  void jobWithManyTasksLeavesStartsForLessUrgentJobs() {
+    maximumStarts = 8;
+    addWorker("w", 9_000, "r1");
+    submit("wide", 100, StepSpecification.builder().taskCount(1_000).uses(1, 0, 0).build());
+    now = now.plusMillis(50);
+    submit("small", 1_000, step(100));
+
+    ImmutableList<RunStart> starts = decideAndRecord();
+
+    assertThat(starts).hasSize(5);
+    assertThat(starts).contains(new RunStart("small.0.0.0", 1, "w"));
+  }
+
+  // More hosts would not help tasks that only wait for a worker's answers to earlier orders.
+  @Test
+  void tasksThatStartInALaterRoundKeepTheirRoomAndAreNoShortage() {
+    maximumStarts = 2;
+    addWorker("w", 1_000, "r1");
+    submit("urgent", 100, StepSpecification.builder().taskCount(10).uses(100, 1, 0).build());
+    now = now.plusMillis(50);
+    submit("other", 1_000, StepSpecification.builder().uses(100, 1, 0).build());
+
+    SchedulingResult decision = decideOnly();
+
+    assertThat(decision.starts()).containsExactly(new RunStart("urgent.0.0.0", 1, "w"));
+    assertThat(decision.shortages()).containsExactly("p", 100L);
+  }
+
+  // A gang larger than the limit would never start.
+  @Test
+  void gangStartsWholeWhateverTheLimitOfStarts() {
+    maximumStarts = 2;
+    addWorker("w", 1_000, "r1");
+    submit("a", 100, StepSpecification.builder().taskCount(10).gang(true).uses(10, 1, 0).build());
+
+    assertThat(decideAndRecord()).hasSize(10);
+  }
+
   /** Compares with first come, first served on the first worker that has enough free. */
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
@@ -365,7 +406,10 @@
     for (Worker worker : workers) {
       FreeCapacity candidate =
           new FreeCapacity(
-              worker, false, failedTasksByWorker.getOrDefault(worker.id(), ImmutableSet.of()));
+              worker,
+              false,
+              failedTasksByWorker.getOrDefault(worker.id(), ImmutableSet.of()),
+              maximumStarts);
       jobRegistry.boundTo(worker.id()).forEach(candidate::reserve);
       candidates.add(candidate);
     }
--- a/core/src/test/java/org/verbenawheel/scheduling/OverloadedPool.java
+++ b/core/src/test/java/org/verbenawheel/scheduling/OverloadedPool.java
@@ -210,7 +210,7 @@
   private void schedule() {
     List<FreeCapacity> candidates = new ArrayList<>();
     for (Worker host : hosts) {
-      FreeCapacity free = new FreeCapacity(host, false, ImmutableSet.of());
+      FreeCapacity free = new FreeCapacity(host, false, ImmutableSet.of(), Integer.MAX_VALUE);
       registry.boundTo(host.id()).forEach(free::reserve);
       candidates.add(free);
     }
