Release a binding whose outcome was unknown

Cause: the attempt of each start was recorded before the commit and stayed when the commit's outcome was unknown (a reply later than 3 s). If the command was committed after all, the task was bound with an attempt that was never sent; a listing releases only runs that were sent or that this leadership knows nothing of. The task stayed bound and never ran until the next change of leader.

Fix: the attempts of a part that is not known to be committed are removed. No order was sent, so the next listing releases the task; a second binding with the same run number takes effect on one worker only, since the registry ignores the later one.

--- a/core/src/main/java/org/verbenawheel/execution/SchedulingRounds.java
+++ b/core/src/main/java/org/verbenawheel/execution/SchedulingRounds.java
@@ -202,12 +202,18 @@
     bindingInFlight = false;
     workersBeingBound = ImmutableSet.of();
     if (!ended) {
-      later.forEach(this::cancelBinding);
+      if (!committed) {
+        part.forEach(this::cancelBinding);
+        later.forEach(this::cancelBinding);
+      }
       runIfRequested();
     }
   }
 
-  /** Removes the attempt of a start that was not sent to be committed. */
+  /**
+   * Removes the attempt of a start that is not known to be committed. If it is committed later, the
+   * worker's next listing shows that its order was never sent, and releases the task.
+   */
   private void cancelBinding(RunStart start) {
     WorkerSession session = sessions.get(start.worker());
     if (session != null) {
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -78,6 +78,7 @@
   private final MetricRegistry metrics = new MetricRegistry();
   private Instant now = START;
   private boolean holdsCommits;
+  private boolean losesNextReply;
   private int longestCommandBytes;
   private long index;
   private long sequence;
@@ -179,6 +180,11 @@
     }
   }
 
+  /** Applies the next command, but fails its reply as if it came too late. */
+  void loseNextReply() {
+    losesNextReply = true;
+  }
+
   private CompletableFuture<CommandReply> commit(ControlCommand command) {
     CompletableFuture<CommandReply> reply = new CompletableFuture<>();
     int bytes = codec.encode(command).length;
@@ -188,6 +194,13 @@
           new CommandNotCommittedException(RunVerdict.NOT_RUN, bytes + " bytes are too many"));
       return reply;
     }
+    if (losesNextReply) {
+      losesNextReply = false;
+      stateThreadTasks.add(() -> apply(command));
+      reply.completeExceptionally(
+          new CommandNotCommittedException(RunVerdict.MAY_HAVE_RUN, "no reply"));
+      return reply;
+    }
     Runnable applied = () -> reply.complete(apply(command));
     if (holdsCommits) {
       heldCommits.add(applied);
--- a/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
@@ -61,6 +61,20 @@
     assertThat(harness.startedTwice()).isEmpty();
   }
 
+  // No start order was sent, so nothing would ever end the binding, and the task would never run.
+  @Test
+  void taskRunsAfterTheOutcomeOfItsBindingWasUnknown() {
+    harness.report("w1");
+    harness.advance(Duration.ofMillis(200));
+    harness.loseNextReply();
+    harness.submit("a", StepSpecification.builder().build());
+
+    harness.advance(Duration.ofSeconds(2));
+
+    assertThat(harness.worker("w1").running()).containsExactly("a.0.0.0/2");
+    assertThat(harness.startedTwice()).isEmpty();
+  }
+
   @Test
   void runOfAnUnansweredStartIsAdopted() {
     harness.report("w1");
