Ignore reports of pools that are not known

Cause, first of two: a report was recorded though no configuration names its service; it took the place of the worker at the address. Ruled out: the lease (the first runner was polled until then), the order of the reports (the foreign one is born later by construction).

Fix: a report counts only if its pool is named by the configuration in force, or was when an active job was accepted (KnownPools). Without a configuration a report is not acknowledged (503 with Retry-After), so the worker sends it again. A new leader forgets idle workers of unknown pools that older code recorded.

--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -81,7 +81,8 @@
             factory.sink,
             sessions,
             this::requestRound,
-            factory.timeOfDayMilliseconds);
+            factory.timeOfDayMilliseconds,
+            new KnownPools(factory.configuration, factory.jobRegistry));
     this.advice =
         new AdviceRequests(context, factory.adviser, this::advicePolicyOf, this::requestRound);
     this.rounds =
--- a/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
@@ -34,6 +34,7 @@
   private final Map<String, WorkerSession> sessions;
   private final Runnable onWorkersChanged;
   private final LongSupplier timeOfDayMilliseconds;
+  private final KnownPools knownPools;
   private final Map<String, Long> lastReportSequence = new HashMap<>();
 
   /** Incarnations that ended in this leadership, whose ends may not be committed yet. */
@@ -45,28 +46,55 @@
       CommandSink sink,
       Map<String, WorkerSession> sessions,
       Runnable onWorkersChanged,
-      LongSupplier timeOfDayMilliseconds) {
+      LongSupplier timeOfDayMilliseconds,
+      KnownPools knownPools) {
     this.context = context;
     this.registry = registry;
     this.sink = sink;
     this.sessions = sessions;
     this.onWorkersChanged = onWorkersChanged;
     this.timeOfDayMilliseconds = timeOfDayMilliseconds;
+    this.knownPools = knownPools;
     registry.all().forEach(worker -> sessions.put(worker.id(), new WorkerSession(context, worker)));
+    forgetForeignWorkers();
+  }
+
+  /** Forgets idle workers of unknown pools, which earlier versions recorded. */
+  private void forgetForeignWorkers() {
+    if (!knownPools.isConfigured()) {
+      return;
+    }
+    for (Worker worker : registry.all()) {
+      if (!knownPools.contains(worker.pool())
+          && context.jobRegistry().boundTo(worker.id()).isEmpty()) {
+        forgetInBackground(worker, "no configuration names its pool");
+      }
+    }
   }
 
   /**
    * Records a worker's report. Ignores a report that arrives after a newer one, after the worker's
    * end, or after a newer worker has reported the same host or address. Ignores one from the far
-   * future too, since it would replace the present worker for good.
+   * future too, since it would replace the present worker for good, and one from a pool that is not
+   * known: it may come from another installation, whose addresses and hosts can have the same
+   * names.
    *
    * @param reported the worker as it described itself
    * @param sequence number of the report, rising within one incarnation of the worker
    * @param clockMilliseconds reading of the worker's clock, if it sent one
-   * @return completes once a later leader would know of the report too
+   * @return completes once a later leader would know of the report too; fails while there is no
+   *     configuration, which would tell whether the pool is known
    */
   public CompletableFuture<?> onReport(
       Worker reported, long sequence, Optional<Long> clockMilliseconds) {
+    if (!knownPools.isConfigured()) {
+      return CompletableFuture.failedFuture(
+          new IllegalStateException("no configuration yet; the worker must report again"));
+    }
+    if (!knownPools.contains(reported.pool())) {
+      logIgnored(reported, "no configuration names its pool " + reported.pool());
+      return CompletableFuture.completedFuture(null);
+    }
     Optional<Worker> registered = registry.find(reported.id());
     if (isFromTheFuture(reported)
         || hasEnded(reported)
@@ -114,13 +142,18 @@
     if (reported.bornAtMilliseconds() <= latest) {
       return false;
     }
+    logIgnored(reported, "its start lies more than an hour ahead of this process's clock");
+    return true;
+  }
+
+  private static void logIgnored(Worker reported, String problem) {
     logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
         "%s",
         EventLine.of(Event.MESSAGE_REJECTED)
             .with("what", "report of " + reported.id())
-            .with("problem", "its start lies more than an hour ahead of this process's clock")
+            .with("problem", problem)
+            .with("address", reported.address())
             .with("born", reported.bornAtMilliseconds()));
-    return true;
   }
 
   private boolean hasEnded(Worker reported) {
--- a/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
+++ b/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
@@ -56,6 +56,10 @@
     this.bornAtMilliseconds = born;
   }
 
+  String id() {
+    return id;
+  }
+
   long bornAtMilliseconds() {
     return bornAtMilliseconds;
   }
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -7,13 +7,16 @@
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import org.verbenawheel.codec.MessageCodec;
 import org.verbenawheel.host.HostOrderRegistry;
 import org.verbenawheel.job.JobCommands.AcceptJob;
@@ -24,7 +27,10 @@
 import org.verbenawheel.job.JobSpecification;
 import org.verbenawheel.job.StepSpecification;
 import org.verbenawheel.peer.MessageKinds;
+import org.verbenawheel.queue.FleetConfiguration;
 import org.verbenawheel.queue.FleetConfigurationState;
+import org.verbenawheel.queue.InstallConfiguration;
+import org.verbenawheel.queue.WorkerPool;
 import org.verbenawheel.replication.ApplyContext;
 import org.verbenawheel.replication.CommandNotCommittedException;
 import org.verbenawheel.replication.CommandReply;
@@ -69,6 +75,7 @@
       ImmutableList.of(jobRegistry, registry, configuration, waves, hostOrders);
   private final MessageCodec codec = codecOf(parts);
   private final Map<String, FakeWorker> workers = new LinkedHashMap<>();
+  private final Map<String, String> occupants = new HashMap<>();
   private final FakeHosts hosts = new FakeHosts(workers);
   private final FakeAdviser adviser = new FakeAdviser();
   private final Deque<Runnable> stateThreadTasks = new ArrayDeque<>();
@@ -77,13 +84,40 @@
   private final InstantSource clock = this::now;
   private final MetricRegistry metrics = new MetricRegistry();
   private Instant now = START;
+  private CompletableFuture<?> lastReport = CompletableFuture.completedFuture(null);
   private boolean holdsCommits;
   private boolean losesNextReply;
   private int longestCommandBytes;
   private long index;
   private long sequence;
   private long term = 1;
-  private FleetLeadership leadership = begin();
+  private FleetLeadership leadership;
+
+  /** Creates a fleet whose configuration names the pool {@code p}. */
+  FleetHarness() {
+    this(true);
+  }
+
+  private FleetHarness(boolean configured) {
+    if (configured) {
+      configurePools(0, "p");
+    }
+    leadership = begin();
+  }
+
+  /** Returns a fleet that has no configuration yet. */
+  static FleetHarness withoutConfiguration() {
+    return new FleetHarness(false);
+  }
+
+  /** Puts a configuration in force that names some pools and no queues. */
+  void configurePools(long version, String... names) {
+    ImmutableList<WorkerPool> pools =
+        Arrays.stream(names)
+            .map(name -> new WorkerPool(name, false, true))
+            .collect(ImmutableList.toImmutableList());
+    apply(new InstallConfiguration(new FleetConfiguration(version, ImmutableList.of(), pools, "")));
+  }
 
   private static MessageCodec codecOf(ImmutableList<StatePart> parts) {
     MessageKinds.Builder kinds = MessageKinds.builder();
@@ -226,6 +260,7 @@
 
   void report(String id) {
     workers.computeIfAbsent(id, unused -> new FakeWorker(id, this, 10_000));
+    occupants.putIfAbsent(addressOf(id), id);
     report(describe(id, false));
   }
 
@@ -236,17 +271,22 @@
   private void report(Worker worker) {
     FakeWorker fake = workers.get(worker.id());
     Optional<Long> reading = Optional.ofNullable(fake).map(FakeWorker::clock);
-    var unused = leadership.roster().onReport(worker, ++sequence, reading);
+    lastReport = leadership.roster().onReport(worker, ++sequence, reading);
     runTasks();
   }
 
+  /** Returns whether the last report was acknowledged. */
+  boolean isLastReportAcknowledged() {
+    return lastReport.isDone() && !lastReport.isCompletedExceptionally();
+  }
+
   private Worker describe(String id, boolean draining) {
     return new Worker(
         id,
         worker(id).bornAtMilliseconds(),
         "host-" + id,
         "p",
-        id + ":1",
+        addressOf(id),
         "zone",
         new Worker.Capacity(32_000, 64_000, 0),
         ImmutableList.of("a", "r1"),
@@ -254,18 +294,26 @@
   }
 
   void reportAtAddressOf(String other, String id, long bornLater) {
+    report(describeAtAddressOf(other, id, bornLater, "p"));
+  }
+
+  /** Sends a report with the address of a worker, from another pool. */
+  void reportAtAddressOf(String other, String id, long bornLater, String pool) {
+    report(describeAtAddressOf(other, id, bornLater, pool));
+  }
+
+  Worker describeAtAddressOf(String other, String id, long bornLater, String pool) {
     Worker described = describe(other, false);
-    report(
-        new Worker(
-            id,
-            described.bornAtMilliseconds() + bornLater,
-            "host-" + id,
-            "p",
-            described.address(),
-            "zone",
-            described.capacity(),
-            described.labels(),
-            false));
+    return new Worker(
+        id,
+        described.bornAtMilliseconds() + bornLater,
+        "host-" + id,
+        pool,
+        described.address(),
+        "zone",
+        described.capacity(),
+        described.labels(),
+        false);
   }
 
   void leave(String id) {
@@ -335,26 +383,53 @@
     return ImmutableList.copyOf(startedTwice);
   }
 
-  /** Forwards orders to the fake workers. */
+  /** Lets another worker answer at the address of a worker, which keeps running unseen. */
+  void reuseAddress(String worker, String occupant) {
+    occupants.put(addressOf(worker), occupant);
+  }
+
+  private static String addressOf(String worker) {
+    return worker + ":1";
+  }
+
+  /** Gives an order to the worker at an address if it is the addressee. */
+  private <T> CompletableFuture<T> call(
+      Worker addressee, Function<FakeWorker, CompletableFuture<T>> order) {
+    FakeWorker occupant = workers.get(occupants.get(addressee.address()));
+    if (occupant == null) {
+      return failedCall(WorkerCallException.Reason.UNREACHABLE);
+    }
+    if (!occupant.id().equals(addressee.id())) {
+      return failedCall(WorkerCallException.Reason.OTHER_WORKER);
+    }
+    return order.apply(occupant);
+  }
+
+  private static <T> CompletableFuture<T> failedCall(WorkerCallException.Reason reason) {
+    return CompletableFuture.failedFuture(
+        new WorkerCallException(reason, RunVerdict.NOT_RUN, "the order was not delivered"));
+  }
+
+  /** Delivers orders to the worker at the address that they are sent to. */
   private final class Calls implements WorkerCalls {
     @Override
     public CompletableFuture<StartAnswer> start(Worker worker, StartOrder order) {
-      return worker(worker.id()).start(order);
+      return call(worker, addressee -> addressee.start(order));
     }
 
     @Override
     public CompletableFuture<Long> stop(Worker worker, StopOrder order) {
-      return worker(worker.id()).stop(order);
+      return call(worker, addressee -> addressee.stop(order));
     }
 
     @Override
     public CompletableFuture<Listing> poll(Worker worker, PollRequest order) {
-      return worker(worker.id()).poll(order);
+      return call(worker, addressee -> addressee.poll(order));
     }
 
     @Override
     public CompletableFuture<Long> pace(Worker worker, PaceOrder order) {
-      return worker(worker.id()).pace(order);
+      return call(worker, addressee -> addressee.pace(order));
     }
 
     @Override
--- a/core/src/test/java/org/verbenawheel/execution/SchedulingCostTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/SchedulingCostTest.java
@@ -13,6 +13,7 @@
 import org.verbenawheel.queue.FleetConfiguration;
 import org.verbenawheel.queue.InstallConfiguration;
 import org.verbenawheel.queue.QueueRoute;
+import org.verbenawheel.queue.WorkerPool;
 
 /** Tests what rounds, ticks and reports of {@link FleetLeadership} cost as the deployment grows. */
 final class SchedulingCostTest {
@@ -98,7 +99,9 @@
     ImmutableList<QueueRoute> all =
         ImmutableList.<QueueRoute>builder().addAll(routes).add(route("q", "")).build();
     fleet.apply(
-        new InstallConfiguration(new FleetConfiguration(version, all, ImmutableList.of(), "")));
+        new InstallConfiguration(
+            new FleetConfiguration(
+                version, all, ImmutableList.of(new WorkerPool("p", false, true)), "")));
   }
 
   private static QueueRoute route(String host, String pathPrefix) {
