Release the runs of a worker only once it is proved to have ended

Cause, second of two: a report ended every worker with the same address or host that was born earlier, at once, without a lease that has expired and without an answer of the address. WorkerSession states the rule (a bound run is released only if it can never appear there); WorkerRoster.remove with releaseAll went past it. Afterwards isSuperseded ignored the reports of the live worker.

All callers of releaseAll and forgetInBackground, and what proves the end now: - a report with the address of another worker: both are kept; whoever answers a poll at that address stays, the other one is forgotten; - a report with the host of another worker: the earlier one is forgotten once the later one answered and the earlier one does not; - an order that took a host down or moved it: a repeated order is answered with success too, when the next worker runs there; so its worker is polled and forgotten unless it answers; - another worker answers at the address (421): forgets the worker now too; before it stayed registered for five minutes; - a superseded report of a worker that isn't registered polls the successor, so that one that is not there keeps nobody out; - every lease has expired, silence without bound runs, deregistration: unchanged.

FakeHosts ends the worker of a host that it takes down, as the platform does. Not proved: a deregistration from another writer.

--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -289,11 +289,11 @@
   }
 
   /**
-   * Forgets the worker of a host that was ordered down or moved. A repeated order is answered with
-   * success too, when the host's next worker may be registered already, so it may report again.
+   * Forgets the worker of a host that was ordered down or moved, unless it answers: a repeated
+   * order is answered with success too, when the host's next worker may run tasks already.
    */
   private void onWorkerEnded(String id) {
-    roster.forgetInBackground(id, "its host went down or moved as ordered");
+    roster.forgetUnlessAnswering(id, "its host went down or moved as ordered");
   }
 
   private List<Worker> usableWorkers(String pool, Instant now) {
--- a/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
@@ -1,5 +1,6 @@
 package org.verbenawheel.execution;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.HashMap;
@@ -21,8 +22,11 @@
 /**
  * Tracks the workers during one leadership: records the reports that they send, and forgets workers
  * that ended or were replaced. Confined to the state thread.
+ *
+ * <p>Two workers that report the same address or host are both kept until one of them answers a
+ * poll, since either report may be delayed or come from another installation.
  */
-public final class WorkerRoster {
+public final class WorkerRoster implements WorkerSession.Listener {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** The wall clocks of sound processes differ by seconds, even while some of them jump. */
@@ -55,7 +59,9 @@
     this.onWorkersChanged = onWorkersChanged;
     this.timeOfDayMilliseconds = timeOfDayMilliseconds;
     this.knownPools = knownPools;
-    registry.all().forEach(worker -> sessions.put(worker.id(), new WorkerSession(context, worker)));
+    registry
+        .all()
+        .forEach(worker -> sessions.put(worker.id(), new WorkerSession(context, worker, this)));
     forgetForeignWorkers();
   }
 
@@ -74,10 +80,10 @@
 
   /**
    * Records a worker's report. Ignores a report that arrives after a newer one, after the worker's
-   * end, or after a newer worker has reported the same host or address. Ignores one from the far
-   * future too, since it would replace the present worker for good, and one from a pool that is not
-   * known: it may come from another installation, whose addresses and hosts can have the same
-   * names.
+   * end, or, from a worker that is not registered, after a newer worker has reported the same host
+   * or address. Ignores one from the far future too, since it would replace the present worker for
+   * good, and one from a pool that is not known: it may come from another installation, whose
+   * addresses and hosts can have the same names.
    *
    * @param reported the worker as it described itself
    * @param sequence number of the report, rising within one incarnation of the worker
@@ -99,11 +105,10 @@
     if (isFromTheFuture(reported)
         || hasEnded(reported)
         || isOutdated(reported, sequence, registered)
-        || isSuperseded(reported)) {
+        || (registered.isEmpty() && isSuperseded(reported))) {
       return CompletableFuture.completedFuture(null);
     }
     lastReportSequence.put(reported.id(), sequence);
-    forgetPredecessors(reported);
     if (registered.filter(reported::equals).isPresent()) {
       updateSession(reported, clockMilliseconds);
       return CompletableFuture.completedFuture(null);
@@ -174,22 +179,49 @@
 
   /**
    * Returns whether another worker with the same host or address was born no earlier, so that this
-   * report is outdated.
+   * report is outdated. Polls that worker, since it may not be there: then the next report counts.
    */
   private boolean isSuperseded(Worker reported) {
-    return registry.conflictingWith(reported).stream()
-        .anyMatch(other -> other.bornAtMilliseconds() >= reported.bornAtMilliseconds());
+    ImmutableList<Worker> successors =
+        registry.conflictingWith(reported).stream()
+            .filter(other -> other.bornAtMilliseconds() >= reported.bornAtMilliseconds())
+            .collect(ImmutableList.toImmutableList());
+    for (Worker successor : successors) {
+      Optional.ofNullable(sessions.get(successor.id())).ifPresent(WorkerSession::requestPoll);
+    }
+    return !successors.isEmpty();
   }
 
-  private void forgetPredecessors(Worker reported) {
-    registry
-        .conflictingWith(reported)
-        .forEach(other -> forgetInBackground(other, "its host or address has a new worker"));
+  /**
+   * Resolves conflicts with a worker that answered a poll: no other worker can be at its address,
+   * and an earlier one on its host has ended unless it answers too.
+   */
+  @Override
+  public void onAnswered(Worker worker) {
+    for (Worker other : registry.conflictingWith(worker)) {
+      WorkerSession session = sessions.get(other.id());
+      if (session == null) {
+        continue;
+      }
+      if (other.address().equals(worker.address())) {
+        forgetInBackground(other, "another worker answers at its address");
+      } else if (other.bornAtMilliseconds() < worker.bornAtMilliseconds()) {
+        session.endUnlessAnswering("its host has a new worker");
+      }
+    }
+  }
+
+  @Override
+  public void onEnded(Worker worker, String reason) {
+    if (sessions.containsKey(worker.id())) {
+      forgetInBackground(worker, reason);
+    }
   }
 
   private void updateSession(Worker reported, Optional<Long> clockMilliseconds) {
     WorkerSession session =
-        sessions.computeIfAbsent(reported.id(), unused -> new WorkerSession(context, reported));
+        sessions.computeIfAbsent(
+            reported.id(), unused -> new WorkerSession(context, reported, this));
     session.onReport(reported, clockMilliseconds);
   }
 
@@ -214,9 +246,9 @@
         .orElseGet(() -> CompletableFuture.completedFuture(null));
   }
 
-  /** Forgets a worker if it is registered; a failure is only logged. */
-  void forgetInBackground(String id, String reason) {
-    registry.find(id).ifPresent(worker -> forgetInBackground(worker, reason));
+  /** Forgets a worker whose host went down by an order, unless it answers a poll. */
+  void forgetUnlessAnswering(String id, String reason) {
+    Optional.ofNullable(sessions.get(id)).ifPresent(session -> session.endUnlessAnswering(reason));
   }
 
   /** Forgets a worker until it reports again; a failure is only logged. */
--- a/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
@@ -28,12 +28,14 @@
  *
  * <p>A bound run that the worker does not list is released only if it can never appear there: the
  * worker refuses the start order because of its fencing token, or its listing was requested after
- * it had confirmed the run, or every lease has expired.
+ * it had confirmed the run, or every lease has expired, or the worker has ended. A report of
+ * another worker does not prove that: it may be delayed, or come from another installation.
  */
 final class WorkerSession {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   private final FleetContext context;
+  private final Listener listener;
   private final RunOrders orders;
   private final StallDetector stallDetector = new StallDetector();
   private final Pacer pacer;
@@ -49,9 +51,12 @@
   private Instant nextPollAt;
   private Optional<Instant> lastContactAt = Optional.empty();
   private Instant noTasksBefore;
+  private boolean pollRequested;
+  private Optional<EndClaim> endClaim = Optional.empty();
 
-  WorkerSession(FleetContext context, Worker worker) {
+  WorkerSession(FleetContext context, Worker worker, Listener listener) {
     this.context = context;
+    this.listener = listener;
     this.worker = worker;
     this.pacer = new Pacer(context);
     this.orders = new RunOrders(context, this);
@@ -61,6 +66,46 @@
     this.noTasksBefore = context.now();
   }
 
+  /** Receives what the answers to polls tell about a worker. */
+  interface Listener {
+    /** The worker itself answered a poll. */
+    void onAnswered(Worker worker);
+
+    /** The worker has ended, so that its runs can be released. */
+    void onEnded(Worker worker, String reason);
+  }
+
+  /**
+   * A claim that the worker has ended, by a source that can know it.
+   *
+   * @param reason what the source said
+   * @param madeAt only polls that are sent later verify the claim
+   */
+  private record EndClaim(String reason, Instant madeAt) {}
+
+  /** Polls the worker at once, even if nothing is bound to it. */
+  void requestPoll() {
+    pollRequested = true;
+    nextPollAt = context.now();
+  }
+
+  /**
+   * Ends the worker unless it answers a poll that is sent now. Until then it gets no tasks.
+   *
+   * @param reason why it must have ended unless it answers
+   */
+  void endUnlessAnswering(String reason) {
+    if (endClaim.isEmpty()) {
+      endClaim = Optional.of(new EndClaim(reason, context.now()));
+      requestPoll();
+    }
+  }
+
+  /** Returns the present claim if a poll that was sent at a time can verify it. */
+  private Optional<EndClaim> claimBefore(Instant pollSentAt) {
+    return endClaim.filter(claim -> !pollSentAt.isBefore(claim.madeAt()));
+  }
+
   Worker worker() {
     return worker;
   }
@@ -107,6 +152,7 @@
   boolean takesTasks(Instant now) {
     return !worker.draining()
         && consecutiveFailures == 0
+        && endClaim.isEmpty()
         && confirmedToken >= context.firstFencingToken()
         && !now.isBefore(noTasksBefore)
         && !context.failureTracker().isQuarantined(worker.id(), now)
@@ -141,6 +187,7 @@
     clock = new WorkerClock(context.timings(), context.leadingSince());
     acknowledgedEnd = 0;
     consecutiveFailures = 0;
+    endClaim = Optional.empty();
     listed = new HashMap<>();
     raiseFence();
   }
@@ -166,8 +213,8 @@
     if (confirmedToken >= context.firstFencingToken()) {
       orders.sendStops(bound, now);
     }
-    boolean pollNeeded = !bound.isEmpty() || confirmedToken < fencingToken;
-    boolean pollAllowed = pollsInFlight == 0 || fencingToken > pollTokenInFlight;
+    boolean pollNeeded = pollRequested || !bound.isEmpty() || confirmedToken < fencingToken;
+    boolean pollAllowed = pollRequested || pollsInFlight == 0 || fencingToken > pollTokenInFlight;
     if (pollNeeded && pollAllowed && !now.isBefore(nextPollAt)) {
       poll(now, bound);
     }
@@ -176,8 +223,11 @@
   private void poll(Instant now, ImmutableList<Task> bound) {
     boolean upToDate = confirmedToken == fencingToken && consecutiveFailures == 0;
     long waitMilliseconds =
-        upToDate && !bound.isEmpty() ? context.timings().longPoll().toMillis() : 0;
+        upToDate && !bound.isEmpty() && !pollRequested
+            ? context.timings().longPoll().toMillis()
+            : 0;
     long token = fencingToken;
+    pollRequested = false;
     pollsInFlight++;
     pollTokenInFlight = token;
     // The lease of a worker that may be lost is not extended; otherwise its tasks could never run
@@ -195,12 +245,12 @@
           if (listing != null) {
             onListing(listing, token, now);
           } else {
-            onPollFailed(failure);
+            onPollFailed(failure, now);
           }
         });
   }
 
-  private void onPollFailed(@Nullable Throwable failure) {
+  private void onPollFailed(@Nullable Throwable failure, Instant sentAt) {
     if (consecutiveFailures == 0) {
       logger.atWarning().log(
           "%s",
@@ -215,9 +265,10 @@
         failure instanceof WorkerCallException callFailure
             && callFailure.reason() == WorkerCallException.Reason.OTHER_WORKER;
     if (addressReused) {
-      releaseAll(
-          context.jobRegistry().boundTo(worker.id()).asList(), "another worker has its address");
+      listener.onEnded(worker, "another worker answers at its address");
+      return;
     }
+    claimBefore(sentAt).ifPresent(claim -> listener.onEnded(worker, claim.reason()));
   }
 
   private void onListing(Listing listing, long token, Instant sentAt) {
@@ -240,10 +291,14 @@
               .with("running", listing.running().size()));
     }
     consecutiveFailures = 0;
+    if (claimBefore(sentAt).isPresent()) {
+      endClaim = Optional.empty();
+    }
     lastContactAt = Optional.of(now);
     clock.onReading(listing.clockMilliseconds(), now);
     confirmedToken = Math.max(confirmedToken, token);
     nextPollAt = now.plus(context.timings().pollPause());
+    listener.onAnswered(worker);
     reconcile(listing, token, sentAt);
     pacer.onListing(this, now);
     stallDetector
--- a/core/src/test/java/org/verbenawheel/execution/FakeHosts.java
+++ b/core/src/test/java/org/verbenawheel/execution/FakeHosts.java
@@ -55,6 +55,7 @@
           .flatMap(Host::worker)
           .map(workers::get)
           .ifPresent(worker -> runningAtMaintenance.addAll(worker.running()));
+      terminateWorkerOf(host);
     }
     return CompletableFuture.completedFuture(maintenanceOutcome);
   }
@@ -83,7 +84,14 @@
     moveOrders++;
     if (moveOutcome == OrderOutcome.DONE) {
       hosts.put(host, new Host(host, pool, HostState.UP, Optional.empty()));
+      terminateWorkerOf(host);
     }
     return CompletableFuture.completedFuture(moveOutcome);
   }
+
+  private void terminateWorkerOf(String host) {
+    workers.values().stream()
+        .filter(worker -> FleetHarness.hostOf(worker.id()).equals(host))
+        .forEach(FakeWorker::terminate);
+  }
 }
--- a/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
+++ b/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
@@ -154,7 +154,14 @@
     ImmutableList.copyOf(running.keySet()).forEach(task -> end(task, ending));
   }
 
+  /** Ends with its host; it answers again after a restart. */
+  void terminate() {
+    running.clear();
+    unreachable = true;
+  }
+
   void restart() {
+    unreachable = false;
     bornAtMilliseconds += 1_000;
     running.clear();
     ends.clear();
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -284,7 +284,7 @@
     return new Worker(
         id,
         worker(id).bornAtMilliseconds(),
-        "host-" + id,
+        hostOf(id),
         "p",
         addressOf(id),
         "zone",
@@ -307,7 +307,7 @@
     return new Worker(
         id,
         described.bornAtMilliseconds() + bornLater,
-        "host-" + id,
+        hostOf(id),
         pool,
         described.address(),
         "zone",
@@ -316,6 +316,33 @@
         false);
   }
 
+  /** Reports a worker on the host of another one, at an address of its own. */
+  void reportOnHostOf(String other, String id, long bornLater, boolean alive) {
+    FakeWorker fake = new FakeWorker(id, this, worker(other).bornAtMilliseconds() + bornLater);
+    workers.put(id, fake);
+    if (alive) {
+      occupants.put(addressOf(id), id);
+    }
+    Worker described = describe(id, false);
+    report(
+        new Worker(
+            id,
+            described.bornAtMilliseconds(),
+            describe(other, false).host(),
+            "p",
+            described.address(),
+            "zone",
+            described.capacity(),
+            described.labels(),
+            false));
+  }
+
+  /** Tells the roster that the platform took the host of a worker down. */
+  void onHostDown(String id) {
+    leadership.roster().forgetUnlessAnswering(id, "its host went down");
+    runTasks();
+  }
+
   void leave(String id) {
     var unused = leadership.roster().onLeave(id, Optional.empty());
     runTasks();
@@ -388,6 +415,10 @@
     occupants.put(addressOf(worker), occupant);
   }
 
+  static String hostOf(String worker) {
+    return "host-" + worker;
+  }
+
   private static String addressOf(String worker) {
     return worker + ":1";
   }
