--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -354,7 +354,7 @@
         EventLine.of(Event.COMMAND_NOT_COMMITTED)
             .with("command", command.getClass().getSimpleName())
             .with("verdict", verdict)
-            .with("reason", failure.getMessage()));
+            .with("reason", String.valueOf(failure.getMessage())));
   }
 
   @Override
