Refuse for good what no command can hold

A valid submission or configuration whose command is over 1 MiB was answered with 504 or 503, which ask for the same request again, to be refused in the same way.

Fix: the log fails with CommandTooLongException, whose message has the size and the limit. A caller is answered with 400, an operator with 413; nothing is kept.

Left: a configuration of some 2,800 routes and more is valid, and still not stored. Its routes are in the command twice, parsed and as the operator's text.

--- a/core/src/main/java/org/verbenawheel/gateway/QueueService.java
+++ b/core/src/main/java/org/verbenawheel/gateway/QueueService.java
@@ -19,6 +19,7 @@
 import org.verbenawheel.queue.QueueRoute;
 import org.verbenawheel.replication.CommandNotCommittedException;
 import org.verbenawheel.replication.CommandReply;
+import org.verbenawheel.replication.CommandTooLongException;
 import org.verbenawheel.replication.ControlCommand;
 import org.verbenawheel.request.RunVerdict;
 
@@ -175,6 +176,10 @@
   }
 
   private static QueueAnswer answerOf(Throwable failure) {
+    Optional<CommandTooLongException> tooLong = CommandTooLongException.causeOf(failure);
+    if (tooLong.isPresent()) {
+      return QueueAnswer.of(Outcome.INVALID, String.valueOf(tooLong.get().getMessage()));
+    }
     boolean notRun =
         failure instanceof CommandNotCommittedException notCommitted
             && notCommitted.verdict() == RunVerdict.NOT_RUN;
--- a/core/src/main/java/org/verbenawheel/replication/CommandNotCommittedException.java
+++ b/core/src/main/java/org/verbenawheel/replication/CommandNotCommittedException.java
@@ -3,7 +3,7 @@
 import org.verbenawheel.request.RunVerdict;
 
 /** Thrown when a command gets no reply; the verdict is whether it may have been committed. */
-public final class CommandNotCommittedException extends Exception {
+public class CommandNotCommittedException extends Exception {
   private static final long serialVersionUID = 1L;
 
   private final RunVerdict verdict;
--- a/core/src/main/java/org/verbenawheel/replication/CommandSubmitter.java
+++ b/core/src/main/java/org/verbenawheel/replication/CommandSubmitter.java
@@ -34,11 +34,7 @@
     }
     int length = command.command().length();
     if (length > CommandSize.MAXIMUM_BYTES) {
-      return refused(
-          "the command has "
-              + length
-              + " bytes; the limit in bytes is "
-              + CommandSize.MAXIMUM_BYTES);
+      return CompletableFuture.failedFuture(new CommandTooLongException(length));
     }
     CompletableFuture<CommandReply> reply = new CompletableFuture<>();
     replica.propose(CommandEncoding.encode(command.commandId(), command.command()), reply);
--- a/core/src/test/java/org/verbenawheel/gateway/QueueServiceTest.java
+++ b/core/src/test/java/org/verbenawheel/gateway/QueueServiceTest.java
@@ -23,6 +23,7 @@
 import org.verbenawheel.replication.ApplyContext;
 import org.verbenawheel.replication.CommandNotCommittedException;
 import org.verbenawheel.replication.CommandReply;
+import org.verbenawheel.replication.CommandTooLongException;
 import org.verbenawheel.replication.ControlCommand;
 import org.verbenawheel.request.RunVerdict;
 
@@ -118,6 +119,24 @@
     commit(new InstallConfiguration(newConfiguration)).join();
   }
 
+  // A caller that is told to try again would send the same refused request until it gives up.
+  @Test
+  void jobThatNoCommandCanHoldIsInvalid() {
+    QueueService refusing =
+        new QueueService(
+            configuration,
+            jobRegistry,
+            command ->
+                CompletableFuture.<CommandReply>failedFuture(new CommandTooLongException(2_000_000))
+                    .whenComplete((reply, failure) -> {}));
+
+    QueueAnswer answer =
+        refusing.answer(new QueueCall(Operation.SUBMIT, "h", "/a/j1", Optional.of(JOB))).join();
+
+    assertThat(answer.outcome()).isEqualTo(Outcome.INVALID);
+    assertThat(answer.detail()).contains("1048576");
+  }
+
   private CompletableFuture<CommandReply> commit(ControlCommand command) {
     if (commitFailure.isPresent()) {
       return CompletableFuture.failedFuture(
