Keep a worker registered when the poll of an earlier session fails

Found while reading the change: the poll of a session that was replaced may fail as "another worker answers" after the worker has registered again at another address; its runs were then released while it ran them.

Fix: only the registered incarnation at the polled address is forgotten. Test WorkerConflictTest.endOfAWorkerAtAnEarlierAddressDoesNotReleaseTheRunsOfTheRegisteredOne fails before (no run on the worker), passes now, with the 58 other tests run.

--- a/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
@@ -213,9 +213,12 @@
 
   @Override
   public void onEnded(Worker worker, String reason) {
-    if (sessions.containsKey(worker.id())) {
-      forgetInBackground(worker, reason);
-    }
+    // A poll of an earlier session may fail after the worker has registered again.
+    Optional.ofNullable(sessions.get(worker.id()))
+        .map(WorkerSession::worker)
+        .filter(present -> present.isSameIncarnation(worker))
+        .filter(present -> present.address().equals(worker.address()))
+        .ifPresent(present -> forgetInBackground(present, reason));
   }
 
   private void updateSession(Worker reported, Optional<Long> clockMilliseconds) {
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -337,6 +337,12 @@
             false));
   }
 
+  /** Tells the roster that a session found its worker ended. */
+  void onEnded(Worker worker) {
+    leadership.roster().onEnded(worker, "ended by the test");
+    runTasks();
+  }
+
   /** Tells the roster that the platform took the host of a worker down. */
   void onHostDown(String id) {
     leadership.roster().forgetUnlessAnswering(id, "its host went down");
--- a/core/src/test/java/org/verbenawheel/execution/WorkerConflictTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/WorkerConflictTest.java
@@ -135,6 +135,17 @@
     assertThat(fleet.worker("w2").running()).containsExactly("a.0.0.0/2");
   }
 
+  // The poll of an earlier address, answered late by another worker, ended the registered one.
+  @Test
+  void endOfAWorkerAtAnEarlierAddressDoesNotReleaseTheRunsOfTheRegisteredOne() {
+    fleet.onEnded(fleet.describeAtAddressOf("w2", "w1", 0, "p"));
+
+    fleet.advance(LONGER_THAN_ANY_LEASE);
+
+    assertThat(fleet.worker("w1").running()).containsExactly("a.0.0.0/1");
+    assertThat(fleet.startedTwice()).isEmpty();
+  }
+
   // A lost worker must not hold its runs longer than its lease.
   @Test
   void runsOfALostWorkerRunElsewhereAfterItsLeaseThoughItsAddressIsContested() {
