Log each change of the members with its reason, and count the voters that respond

Now each replica writes members_changed with the members in force and its own part; the leader adds the reason, the member concerned and the voters that responded. Gauges: replica.voters, .learners, .isVoter, and on the leader .respondingVoters and .bearableLosses (-1 elsewhere).

Nothing is decided differently.

--- a/command/src/test/java/org/verbenawheel/command/FakeControl.java
+++ b/command/src/test/java/org/verbenawheel/command/FakeControl.java
@@ -264,7 +264,8 @@
         1,
         0,
         1,
-        Optional.of(ClusterMembers.founding(new ClusterId("cluster-a"), ImmutableList.of(member))));
+        Optional.of(ClusterMembers.founding(new ClusterId("cluster-a"), ImmutableList.of(member))),
+        Optional.of(1));
   }
 
   private static void respondError(HttpExchange exchange, int status, String error)
--- a/core/src/main/java/org/verbenawheel/replication/ClusterMembers.java
+++ b/core/src/main/java/org/verbenawheel/replication/ClusterMembers.java
@@ -49,6 +49,14 @@
     return voters.stream().anyMatch(member -> member.replica().equals(replica));
   }
 
+  /** Returns whether the replica votes, learns or is no member. */
+  Membership membershipOf(ReplicaId replica) {
+    if (isVoter(replica)) {
+      return Membership.VOTER;
+    }
+    return find(replica).isPresent() ? Membership.LEARNER : Membership.NONE;
+  }
+
   /** Returns the member with the identity. */
   public Optional<Member> find(ReplicaId replica) {
     return all().stream().filter(member -> member.replica().equals(replica)).findFirst();
--- a/core/src/main/java/org/verbenawheel/replication/Effect.java
+++ b/core/src/main/java/org/verbenawheel/replication/Effect.java
@@ -1,6 +1,7 @@
 package org.verbenawheel.replication;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Optional;
 import org.verbenawheel.identity.ProcessId;
 
 /** An action that a {@link Replica} requests; the caller must carry them out in order. */
@@ -84,6 +85,14 @@
    */
   record RefuseReads(ImmutableList<Long> tokens) implements Effect {}
 
+  /**
+   * Reports that the members in force changed, on the leader and on the replicas that follow.
+   *
+   * @param status the new status
+   * @param change the change that this replica decided as leader; empty if it follows
+   */
+  record MembersChanged(ReplicaStatus status, Optional<MemberChange> change) implements Effect {}
+
   /**
    * Reports that the role, the term or the leader changed.
    *
--- a/core/src/main/java/org/verbenawheel/replication/EffectRunner.java
+++ b/core/src/main/java/org/verbenawheel/replication/EffectRunner.java
@@ -4,6 +4,8 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.verbenawheel.event.Event;
 import org.verbenawheel.event.EventLine;
 import org.verbenawheel.peer.PeerLinks;
@@ -62,6 +64,8 @@
       refuse.tokens().forEach(reads::refuse);
     } else if (effect instanceof Effect.RoleChanged changed) {
       onRoleChanged(changed.status());
+    } else if (effect instanceof Effect.MembersChanged changed) {
+      onMembersChanged(changed);
     }
   }
 
@@ -98,4 +102,31 @@
             .with("commit_index", status.commitIndex()));
     statusListener.accept(status);
   }
+
+  private static void onMembersChanged(Effect.MembersChanged changed) {
+    ReplicaStatus status = changed.status();
+    EventLine line =
+        EventLine.of(Event.MEMBERS_CHANGED)
+            .with("index", status.membersIndex())
+            .with("term", status.term())
+            .with("self", status.membership())
+            .with("voters", processes(status, ClusterMembers::voters))
+            .with("learners", processes(status, ClusterMembers::learners));
+    changed
+        .change()
+        .ifPresent(
+            change ->
+                line.with("reason", change.reason())
+                    .with("member", change.member().process())
+                    .with("replica", change.member().replica())
+                    .with("responding_voters", status.respondingVoters().orElse(0)));
+    logger.atInfo().log("%s", line);
+  }
+
+  private static String processes(
+      ReplicaStatus status, Function<ClusterMembers, ImmutableList<Member>> part) {
+    return status.members().map(part).orElse(ImmutableList.of()).stream()
+        .map(member -> member.process().value())
+        .collect(Collectors.joining(","));
+  }
 }
--- a/core/src/main/java/org/verbenawheel/replication/Leadership.java
+++ b/core/src/main/java/org/verbenawheel/replication/Leadership.java
@@ -32,6 +32,8 @@
   private long commitIndexAtCheck;
   private Instant nextHeartbeat;
   private Instant nextMemberCheck;
+  private int respondingVoters = 1;
+  private Optional<MemberChange> lastChange = Optional.empty();
 
   Leadership(ReplicaCore core, ClusterRules rules, Instant now) {
     this.core = core;
@@ -62,14 +64,15 @@
   }
 
   private void checkMembers(Instant now) {
+    respondingVoters = countRespondingVoters(now);
     if (mayChangeMembers()) {
-      MemberChanges.nextMembers(
+      MemberChanges.next(
               core.members(),
               core.self(),
               this::isCaughtUp,
               voter -> isUnresponsive(voter, now),
               rules.maximumVoters())
-          .ifPresent(members -> changeMembers(now, members));
+          .ifPresent(change -> changeMembers(now, change));
     }
     commitIndexAtCheck = core.commitIndex();
   }
@@ -86,7 +89,7 @@
   void onIntroduction(Instant now, Member newcomer) {
     if (mayChangeMembers()) {
       MemberChanges.admit(core.members(), core.self(), newcomer)
-          .ifPresent(members -> changeMembers(now, members));
+          .ifPresent(change -> changeMembers(now, change));
     }
   }
 
@@ -106,11 +109,17 @@
     return !voter.equals(core.self()) && now.isAfter(since.plus(rules.unresponsiveVoterTimeout()));
   }
 
-  private void changeMembers(Instant now, ClusterMembers members) {
-    append(now, EntryType.MEMBERS, ImmutableList.of(ReplicationMessages.encode(members)));
+  private void changeMembers(Instant now, MemberChange change) {
+    lastChange = Optional.of(change);
+    append(now, EntryType.MEMBERS, ImmutableList.of(ReplicationMessages.encode(change.members())));
     replicate(now);
   }
 
+  /** Returns the last change of members in this term. */
+  Optional<MemberChange> lastChange() {
+    return lastChange;
+  }
+
   private void append(Instant now, EntryType type, List<Payload> payloads) {
     Instant lastTime = core.log().lastStateTime();
     Instant stateTime = now.isAfter(lastTime) ? now : lastTime;
@@ -284,6 +293,23 @@
     return Duration.between(since, now).compareTo(core.timings().electionTimeout()) < 0;
   }
 
+  private int countRespondingVoters(Instant now) {
+    Instant oldest = now.minus(core.timings().electionTimeout());
+    long others =
+        core.otherVoters().stream()
+            .filter(voter -> progressOf(voter).acknowledgedSentAt().isAfter(oldest))
+            .count();
+    return Math.toIntExact(others) + (core.isVoter() ? 1 : 0);
+  }
+
+  /**
+   * Returns how many voters, this replica included, had replied within the election timeout at the
+   * last check of the members.
+   */
+  int respondingVoters() {
+    return respondingVoters;
+  }
+
   private Instant quorumAcknowledgedSentAt() {
     return quorumValue(PeerProgress::acknowledgedSentAt, Instant.MAX.minus(core.timings().lease()));
   }
--- a/core/src/main/java/org/verbenawheel/replication/MemberChanges.java
+++ b/core/src/main/java/org/verbenawheel/replication/MemberChanges.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Predicate;
+import org.verbenawheel.replication.MemberChange.Reason;
 
 /**
  * Computes the membership changes of a cluster, at most one voter per change.
@@ -18,25 +19,26 @@
    *
    * @return empty if the newcomer is a member, was one, or runs in the leader's own process
    */
-  static Optional<ClusterMembers> admit(ClusterMembers members, Member leader, Member newcomer) {
+  static Optional<MemberChange> admit(ClusterMembers members, Member leader, Member newcomer) {
     if (members.find(newcomer.replica()).isPresent()
         || members.retired().contains(newcomer.replica())
         || newcomer.process().equals(leader.process())) {
       return Optional.empty();
     }
-    return Optional.of(members.withLearner(newcomer));
+    return Optional.of(
+        new MemberChange(Reason.INTRODUCED, newcomer, members.withLearner(newcomer)));
   }
 
   /**
-   * Returns the members after the next change: a caught-up learner replaces the voter of its own
-   * process, fills a free voter place, or replaces an unresponsive voter.
+   * Returns the next change: a caught-up learner replaces the voter of its own process, fills a
+   * free voter place, or replaces an unresponsive voter.
    *
    * @param isCaughtUp whether a learner has all committed entries on its disk
    * @param isUnresponsive whether a voter has not replied for the time that the rules allow
    * @param maximumVoters the maximum number of voters
    * @return empty if no change is due
    */
-  static Optional<ClusterMembers> nextMembers(
+  static Optional<MemberChange> next(
       ClusterMembers members,
       Member leader,
       Predicate<Member> isCaughtUp,
@@ -46,18 +48,26 @@
         .filter(learner -> !learner.process().equals(leader.process()))
         .filter(isCaughtUp)
         .findFirst()
-        .flatMap(learner -> nextMembersFor(members, learner, isUnresponsive, maximumVoters));
+        .flatMap(learner -> nextFor(members, learner, isUnresponsive, maximumVoters));
   }
 
-  private static Optional<ClusterMembers> nextMembersFor(
+  private static Optional<MemberChange> nextFor(
       ClusterMembers members, Member learner, Predicate<Member> isUnresponsive, int maximumVoters) {
     Optional<Member> replaced = members.voterOf(learner.process());
     if (replaced.isPresent()) {
-      return replaced.map(members::withRetired);
+      return replaced.map(voter -> retirement(members, voter, Reason.DISK_REPLACED));
     }
     if (members.voters().size() < maximumVoters) {
-      return Optional.of(members.withPromoted(learner));
+      return Optional.of(
+          new MemberChange(Reason.CAUGHT_UP, learner, members.withPromoted(learner)));
     }
-    return members.voters().stream().filter(isUnresponsive).findFirst().map(members::withRetired);
+    return members.voters().stream()
+        .filter(isUnresponsive)
+        .findFirst()
+        .map(voter -> retirement(members, voter, Reason.VOTER_UNRESPONSIVE));
+  }
+
+  private static MemberChange retirement(ClusterMembers members, Member voter, Reason reason) {
+    return new MemberChange(reason, voter, members.withRetired(voter));
   }
 }
--- a/core/src/main/java/org/verbenawheel/replication/Replica.java
+++ b/core/src/main/java/org/verbenawheel/replication/Replica.java
@@ -35,6 +35,7 @@
   private final ClusterRules rules;
   private @Nullable Leadership leadership;
   private RoleAndTerm lastReported;
+  private Optional<ClusterMembers> lastReportedMembers;
 
   /**
    * Creates a replica that continues from its state on disk.
@@ -61,6 +62,7 @@
     this.rules = rules;
     this.formation = new Formation(core, rules, now);
     this.lastReported = new RoleAndTerm(core.role(), core.term(), core.leader());
+    this.lastReportedMembers = log.members();
   }
 
   /**
@@ -332,20 +334,21 @@
 
   /** Returns this replica's view of itself and its cluster. */
   public ReplicaStatus status() {
-    Optional<Instant> leaseEnd = Optional.ofNullable(leadership).map(current -> current.leaseEnd());
+    Optional<Leadership> leading = Optional.ofNullable(leadership);
     return new ReplicaStatus(
         core.self().process(),
         core.self().replica(),
         core.role(),
         core.term(),
         core.leader().map(Member::process),
-        leaseEnd,
+        leading.map(Leadership::leaseEnd),
         core.commitIndex(),
         core.durability().durableIndex(),
         core.log().lastIndex(),
         core.log().base().index(),
         core.log().lastMembersIndex(),
-        core.log().members());
+        core.log().members(),
+        leading.map(Leadership::respondingVoters));
   }
 
   private ImmutableList<Effect> drainEffects() {
@@ -354,8 +357,22 @@
       lastReported = current;
       core.addEffect(new Effect.RoleChanged(status()));
     }
+    reportChangedMembers();
     return core.drainEffects();
   }
 
+  private void reportChangedMembers() {
+    Optional<ClusterMembers> current = core.log().members();
+    if (current.equals(lastReportedMembers)) {
+      return;
+    }
+    lastReportedMembers = current;
+    Optional<MemberChange> decided =
+        Optional.ofNullable(leadership)
+            .flatMap(Leadership::lastChange)
+            .filter(change -> current.equals(Optional.of(change.members())));
+    core.addEffect(new Effect.MembersChanged(status(), decided));
+  }
+
   private record RoleAndTerm(Role role, long term, Optional<Member> leader) {}
 }
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaStatus.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaStatus.java
@@ -20,6 +20,8 @@
  * @param membersIndex the index of the entry that defines the members in force; they are final once
  *     it is committed
  * @param members the members of the cluster; empty before this replica joined one
+ * @param respondingVoters if this replica leads, how many voters, itself included, replied within
+ *     the election timeout
  */
 public record ReplicaStatus(
     ProcessId process,
@@ -33,7 +35,8 @@
     long lastIndex,
     long snapshotIndex,
     long membersIndex,
-    Optional<ClusterMembers> members) {
+    Optional<ClusterMembers> members,
+    Optional<Integer> respondingVoters) {
 
   /**
    * Returns whether the replica leads and its leader lease has not expired.
@@ -43,4 +46,18 @@
   public boolean mayDecide(Instant now) {
     return role == Role.LEADER && leaseEnd.isPresent() && now.isBefore(leaseEnd.get());
   }
+
+  /**
+   * Returns how many of the responding voters may be lost until no quorum is left; empty if this
+   * replica does not lead.
+   */
+  public Optional<Integer> bearableLosses() {
+    return respondingVoters.flatMap(
+        responding -> members.map(current -> Math.max(0, responding - current.quorum())));
+  }
+
+  /** Returns whether this replica votes, learns, or is no member as far as it knows. */
+  public Membership membership() {
+    return members.map(current -> current.membershipOf(replica)).orElse(Membership.NONE);
+  }
 }
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -41,6 +41,7 @@
 import org.verbenawheel.replication.CommandReply;
 import org.verbenawheel.replication.ControlCommand;
 import org.verbenawheel.replication.Member;
+import org.verbenawheel.replication.Membership;
 import org.verbenawheel.replication.NotLeaderException;
 import org.verbenawheel.replication.ReplicaProcess;
 import org.verbenawheel.replication.ReplicaStatus;
@@ -63,6 +64,9 @@
   private static final Duration COMMAND_TIMEOUT = Duration.ofSeconds(3);
   private static final int SNAPSHOT_EVERY_ENTRIES = 2_000;
 
+  /** The value of a gauge that only the leader, or only a member, can tell. */
+  private static final int UNKNOWN = -1;
+
   /**
    * Messages between availability zones take milliseconds, and pauses of the virtual machine stay
    * well below the election timeout.
@@ -161,10 +165,23 @@
     metrics.gauge(
         "replica.commitIndex",
         () -> () -> replica.status().map(ReplicaStatus::commitIndex).orElse(0L));
+    gaugeOfReplica(
+        "replica.voters", status -> status.members().map(members -> members.voters().size()));
+    gaugeOfReplica(
+        "replica.learners", status -> status.members().map(members -> members.learners().size()));
+    gaugeOfReplica("replica.respondingVoters", ReplicaStatus::respondingVoters);
+    gaugeOfReplica("replica.bearableLosses", ReplicaStatus::bearableLosses);
+    gaugeOfReplica(
+        "replica.isVoter", status -> Optional.of(status.membership() == Membership.VOTER ? 1 : 0));
     metrics.gauge("replica.knowsLeader", () -> () -> knowsLeader() ? 1 : 0);
     metrics.gauge("replica.mayDecide", () -> () -> replica.mayDecide() ? 1 : 0);
   }
 
+  /** Registers a gauge that shows {@link #UNKNOWN} while the replica cannot tell the value. */
+  private void gaugeOfReplica(String name, Function<ReplicaStatus, Optional<Integer>> value) {
+    metrics.gauge(name, () -> () -> replica.status().flatMap(value).orElse(UNKNOWN));
+  }
+
   /** Returns the parts to supervise, in start order. */
   public ImmutableList<SupervisedPart> parts() {
     return ImmutableList.of(peers, replica, leaderLoop);
