Report the leader's reason alone: committed members were logged already

What was missing is who decided the change and why, and how many voters respond. So the leader writes member_change_decided with reason, member and responding voters, and the second members_changed is taken out again.

--- a/core/src/main/java/org/verbenawheel/event/Event.java
+++ b/core/src/main/java/org/verbenawheel/event/Event.java
@@ -56,6 +56,8 @@
   STORAGE_UNAVAILABLE,
   /** A replica replaced its state by a snapshot from the leader. */
   SNAPSHOT_INSTALLED,
+  /** A leader decided to add, promote or remove a member of the replica cluster. */
+  MEMBER_CHANGE_DECIDED,
   /** The member set of the replica cluster changed. */
   MEMBERS_CHANGED,
   /** A part of the replicated state threw an unchecked exception when it applied a command. */
--- a/core/src/main/java/org/verbenawheel/replication/Effect.java
+++ b/core/src/main/java/org/verbenawheel/replication/Effect.java
@@ -1,7 +1,6 @@
 package org.verbenawheel.replication;
 
 import com.google.common.collect.ImmutableList;
-import java.util.Optional;
 import org.verbenawheel.identity.ProcessId;
 
 /** An action that a {@link Replica} requests; the caller must carry them out in order. */
@@ -86,12 +85,12 @@
   record RefuseReads(ImmutableList<Long> tokens) implements Effect {}
 
   /**
-   * Reports that the members in force changed, on the leader and on the replicas that follow.
+   * Reports that this replica, as leader, decided a change of the members.
    *
-   * @param status the new status
-   * @param change the change that this replica decided as leader; empty if it follows
+   * @param change the change, which is not committed yet
+   * @param respondingVoters how many voters replied within the election timeout
    */
-  record MembersChanged(ReplicaStatus status, Optional<MemberChange> change) implements Effect {}
+  record MemberChangeDecided(MemberChange change, int respondingVoters) implements Effect {}
 
   /**
    * Reports that the role, the term or the leader changed.
--- a/core/src/main/java/org/verbenawheel/replication/EffectRunner.java
+++ b/core/src/main/java/org/verbenawheel/replication/EffectRunner.java
@@ -4,8 +4,6 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.Function;
-import java.util.stream.Collectors;
 import org.verbenawheel.event.Event;
 import org.verbenawheel.event.EventLine;
 import org.verbenawheel.peer.PeerLinks;
@@ -64,8 +62,8 @@
       refuse.tokens().forEach(reads::refuse);
     } else if (effect instanceof Effect.RoleChanged changed) {
       onRoleChanged(changed.status());
-    } else if (effect instanceof Effect.MembersChanged changed) {
-      onMembersChanged(changed);
+    } else if (effect instanceof Effect.MemberChangeDecided decided) {
+      onMemberChangeDecided(decided);
     }
   }
 
@@ -103,30 +101,16 @@
     statusListener.accept(status);
   }
 
-  private static void onMembersChanged(Effect.MembersChanged changed) {
-    ReplicaStatus status = changed.status();
-    EventLine line =
-        EventLine.of(Event.MEMBERS_CHANGED)
-            .with("index", status.membersIndex())
-            .with("term", status.term())
-            .with("self", status.membership())
-            .with("voters", processes(status, ClusterMembers::voters))
-            .with("learners", processes(status, ClusterMembers::learners));
-    changed
-        .change()
-        .ifPresent(
-            change ->
-                line.with("reason", change.reason())
-                    .with("member", change.member().process())
-                    .with("replica", change.member().replica())
-                    .with("responding_voters", status.respondingVoters().orElse(0)));
-    logger.atInfo().log("%s", line);
-  }
-
-  private static String processes(
-      ReplicaStatus status, Function<ClusterMembers, ImmutableList<Member>> part) {
-    return status.members().map(part).orElse(ImmutableList.of()).stream()
-        .map(member -> member.process().value())
-        .collect(Collectors.joining(","));
+  private static void onMemberChangeDecided(Effect.MemberChangeDecided decided) {
+    MemberChange change = decided.change();
+    logger.atInfo().log(
+        "%s",
+        EventLine.of(Event.MEMBER_CHANGE_DECIDED)
+            .with("reason", change.reason())
+            .with("member", change.member().process())
+            .with("replica", change.member().replica())
+            .with("voters", change.members().voters().size())
+            .with("learners", change.members().learners().size())
+            .with("responding_voters", decided.respondingVoters()));
   }
 }
--- a/core/src/main/java/org/verbenawheel/replication/Leadership.java
+++ b/core/src/main/java/org/verbenawheel/replication/Leadership.java
@@ -33,7 +33,6 @@
   private Instant nextHeartbeat;
   private Instant nextMemberCheck;
   private int respondingVoters = 1;
-  private Optional<MemberChange> lastChange = Optional.empty();
 
   Leadership(ReplicaCore core, ClusterRules rules, Instant now) {
     this.core = core;
@@ -110,16 +109,11 @@
   }
 
   private void changeMembers(Instant now, MemberChange change) {
-    lastChange = Optional.of(change);
+    core.addEffect(new Effect.MemberChangeDecided(change, respondingVoters));
     append(now, EntryType.MEMBERS, ImmutableList.of(ReplicationMessages.encode(change.members())));
     replicate(now);
   }
 
-  /** Returns the last change of members in this term. */
-  Optional<MemberChange> lastChange() {
-    return lastChange;
-  }
-
   private void append(Instant now, EntryType type, List<Payload> payloads) {
     Instant lastTime = core.log().lastStateTime();
     Instant stateTime = now.isAfter(lastTime) ? now : lastTime;
--- a/core/src/main/java/org/verbenawheel/replication/Replica.java
+++ b/core/src/main/java/org/verbenawheel/replication/Replica.java
@@ -35,7 +35,6 @@
   private final ClusterRules rules;
   private @Nullable Leadership leadership;
   private RoleAndTerm lastReported;
-  private Optional<ClusterMembers> lastReportedMembers;
 
   /**
    * Creates a replica that continues from its state on disk.
@@ -62,7 +61,6 @@
     this.rules = rules;
     this.formation = new Formation(core, rules, now);
     this.lastReported = new RoleAndTerm(core.role(), core.term(), core.leader());
-    this.lastReportedMembers = log.members();
   }
 
   /**
@@ -357,22 +355,8 @@
       lastReported = current;
       core.addEffect(new Effect.RoleChanged(status()));
     }
-    reportChangedMembers();
     return core.drainEffects();
   }
 
-  private void reportChangedMembers() {
-    Optional<ClusterMembers> current = core.log().members();
-    if (current.equals(lastReportedMembers)) {
-      return;
-    }
-    lastReportedMembers = current;
-    Optional<MemberChange> decided =
-        Optional.ofNullable(leadership)
-            .flatMap(Leadership::lastChange)
-            .filter(change -> current.equals(Optional.of(change.members())));
-    core.addEffect(new Effect.MembersChanged(status(), decided));
-  }
-
   private record RoleAndTerm(Role role, long term, Optional<Member> leader) {}
 }
