Do not campaign at once against a candidate whose vote was refused

Callers wait for each leader that is deposed as soon as it was elected. A replica with the longer log refused a candidate's vote and, two milliseconds later, at its own deadline, asked for pre-votes in the next term. Those that had not voted yet granted them; the first candidate won, and the second deposed it (RestartElectionTest, traced on one seed).

A real vote request means that a quorum granted the pre-vote, so the candidate may win without this replica. It waits one election timeout for the outcome, as a replica that grants its vote does.

--- a/core/src/main/java/org/verbenawheel/replication/Replica.java
+++ b/core/src/main/java/org/verbenawheel/replication/Replica.java
@@ -160,6 +160,8 @@
     core.bindToCluster(request.header().cluster());
     if (request.header().term() > core.term()) {
       becomeFollower(request.header().term(), Optional.empty());
+      // A quorum granted the candidate's pre-vote, so it may win even without this replica's vote.
+      core.postponeElection(now);
     }
     if (request.header().term() == core.term()) {
       election.onVoteRequest(now, candidate, request);
--- a/core/src/test/java/org/verbenawheel/replication/RestartElectionTest.java
+++ b/core/src/test/java/org/verbenawheel/replication/RestartElectionTest.java
@@ -31,7 +31,7 @@
           Duration.ofMillis(100), Duration.ofMillis(420), Duration.ofMillis(330));
 
   private static final int REPLICAS = 5;
-  private static final int SEEDS = 300;
+  private static final int SEEDS = 1_500;
   private static final Duration TICK = Duration.ofMillis(20);
   private static final Duration RUN_TIME = Duration.ofSeconds(5);
   private static final int LATEST_START_MILLISECONDS = 350;
