Take a replaced voter in again when it responds

Cause: a voter that was silent for 2.5 s lost its place to a learner, and its identity was retired for good. The rule guards against a wiped disk that votes under its old identity; but a wiped disk has a new identity, and a replica that comes back with its own has its term, vote and log: it is the same server. The machine that was to leave had been the fifth voter, so four voters of five ran from then on.

Now the identity is retired only when its process runs with another disk. A replica that has a log and hears of no leader asks all processes that it knows to be taken in again (Reintroduction, once an election timeout, a line replica_reintroduced); the leader adds it as a learner, and it takes the next free place or that of an unresponsive voter.

Why it is safe: one voter a change, so quorums of neighbouring sets overlap. A replica that slept through its removal needs a vote of a quorum of the old set; the entry that removed it is on a quorum that overlaps it, and its log lacks that entry. Its campaigns stop at the pre-vote, which followers of a leader refuse.

On the same path: a learner that no longer replies was promoted or took a voter's place if the log stood still; it must reply within an election timeout now. A silent learner was kept for good; it is removed after 2.5 s and may return. Of several unresponsive voters the one that is silent for longest goes first.

Ruled out: a longer silence before the replacement (moves the edge); a new identity for the woken one (throws its log away while the set is short of copies).

--- a/core/src/main/java/org/verbenawheel/event/Event.java
+++ b/core/src/main/java/org/verbenawheel/event/Event.java
@@ -56,6 +56,8 @@
   STORAGE_UNAVAILABLE,
   /** A replica replaced its state by a snapshot from the leader. */
   SNAPSHOT_INSTALLED,
+  /** A replica receives no message from a leader and asks to be taken in again. */
+  REPLICA_REINTRODUCED,
   /** A leader decided to add, promote or remove a member of the replica cluster. */
   MEMBER_CHANGE_DECIDED,
   /** The member set of the replica cluster changed. */
--- a/core/src/main/java/org/verbenawheel/replication/ClusterMembers.java
+++ b/core/src/main/java/org/verbenawheel/replication/ClusterMembers.java
@@ -13,7 +13,7 @@
  * @param cluster the cluster
  * @param voters the replicas that vote and count towards a commit
  * @param learners the replicas that receive the log and do not count towards a quorum
- * @param retired removed identities, which can never rejoin; the oldest first
+ * @param retired identities of disks that were replaced, which can never rejoin; the oldest first
  */
 public record ClusterMembers(
     ClusterId cluster,
@@ -93,7 +93,26 @@
   }
 
   /**
-   * Returns these members without one voter. Its identity can never rejoin.
+   * Returns these members without one voter, which may rejoin as a learner.
+   *
+   * @param voter one of the voters
+   */
+  public ClusterMembers withoutVoter(Member voter) {
+    return new ClusterMembers(cluster, without(voters, voter), learners, retired);
+  }
+
+  /**
+   * Returns these members without one learner, which may rejoin.
+   *
+   * @param learner one of the learners
+   */
+  public ClusterMembers withoutLearner(Member learner) {
+    return new ClusterMembers(cluster, voters, without(learners, learner), retired);
+  }
+
+  /**
+   * Returns these members without one voter, whose disk was replaced. Its identity can never
+   * rejoin.
    *
    * @param voter one of the voters
    */
--- a/core/src/main/java/org/verbenawheel/replication/ClusterRules.java
+++ b/core/src/main/java/org/verbenawheel/replication/ClusterRules.java
@@ -12,11 +12,11 @@
  * @param mayFoundCluster whether this replica may found a cluster
  * @param maximumVoters the maximum number of voters; further replicas stay learners until a voter
  *     is unresponsive
- * @param unresponsiveVoterTimeout how long a voter may leave the leader without a reply before a
- *     learner replaces it
+ * @param unresponsiveTimeout how long a member may leave the leader without a reply before a
+ *     learner replaces it if it votes, or before it is removed if it learns
  */
 record ClusterRules(
     ImmutableSortedSet<ProcessId> initialVoters,
     boolean mayFoundCluster,
     int maximumVoters,
-    Duration unresponsiveVoterTimeout) {}
+    Duration unresponsiveTimeout) {}
--- a/core/src/main/java/org/verbenawheel/replication/Effect.java
+++ b/core/src/main/java/org/verbenawheel/replication/Effect.java
@@ -92,6 +92,13 @@
    */
   record MemberChangeDecided(MemberChange change, int respondingVoters) implements Effect {}
 
+  /**
+   * Reports that this replica began to ask for a leader that takes it in again.
+   *
+   * @param membership its part as far as its own log says
+   */
+  record Reintroduced(Membership membership) implements Effect {}
+
   /**
    * Reports that the role, the term or the leader changed.
    *
--- a/core/src/main/java/org/verbenawheel/replication/EffectRunner.java
+++ b/core/src/main/java/org/verbenawheel/replication/EffectRunner.java
@@ -64,6 +64,10 @@
       onRoleChanged(changed.status());
     } else if (effect instanceof Effect.MemberChangeDecided decided) {
       onMemberChangeDecided(decided);
+    } else if (effect instanceof Effect.Reintroduced reintroduced) {
+      logger.atInfo().log(
+          "%s",
+          EventLine.of(Event.REPLICA_REINTRODUCED).with("last_known", reintroduced.membership()));
     }
   }
 
--- a/core/src/main/java/org/verbenawheel/replication/Formation.java
+++ b/core/src/main/java/org/verbenawheel/replication/Formation.java
@@ -1,15 +1,18 @@
 package org.verbenawheel.replication;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.ImmutableSortedSet;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.verbenawheel.identity.ProcessId;
 import org.verbenawheel.replication.ReplicationMessage.Founding;
 import org.verbenawheel.replication.ReplicationMessage.Introduction;
+import org.verbenawheel.replication.ReplicationMessage.Reintroduction;
 
 /**
  * Founds a new cluster or joins the existing one.
@@ -30,6 +33,7 @@
   private final boolean mayFoundCluster;
   private final Map<ProcessId, EmptyVoter> emptyVoters = new HashMap<>();
   private Instant nextIntroduction;
+  private boolean reintroduced;
 
   Formation(ReplicaCore core, ClusterRules rules, Instant now) {
     this.core = core;
@@ -38,20 +42,53 @@
     this.nextIntroduction = now;
   }
 
-  /** Introduces this replica if it is empty, and founds a cluster if all initial voters are. */
+  /**
+   * Introduces this replica if it is empty or hears of no leader, and founds a cluster if all
+   * initial voters are empty.
+   */
   void onTick(Instant now) {
-    if (core.log().members().isPresent() || now.isBefore(nextIntroduction)) {
+    if (now.isBefore(nextIntroduction)) {
       return;
     }
-    nextIntroduction = now.plus(core.timings().heartbeat());
-    Introduction introduction =
-        new Introduction(core.self().process(), core.self().replica(), core.cluster());
-    for (ProcessId voter : initialVoters) {
-      if (!voter.equals(core.self().process())) {
-        core.send(voter, introduction);
+    if (core.log().members().isEmpty()) {
+      nextIntroduction = now.plus(core.timings().heartbeat());
+      sendToAll(
+          initialVoters,
+          new Introduction(core.self().process(), core.self().replica(), core.cluster()));
+      foundIfAllAreEmpty(now);
+    } else if (core.role() == Role.LEADER || core.mayHaveLeader(now)) {
+      reintroduced = false;
+    } else {
+      nextIntroduction = now.plus(core.timings().electionTimeout());
+      reintroduce();
+    }
+  }
+
+  /**
+   * Asks the leader, if there is one, to take this replica in again. A replica that was silent for
+   * long may have been removed; then no leader sends to it, and its own log does not say why.
+   */
+  private void reintroduce() {
+    ImmutableSet<ProcessId> known =
+        ImmutableSet.<ProcessId>builder()
+            .addAll(initialVoters)
+            .addAll(core.members().all().stream().map(Member::process).iterator())
+            .build();
+    sendToAll(
+        known,
+        new Reintroduction(core.self().process(), core.self().replica(), core.members().cluster()));
+    if (!reintroduced) {
+      reintroduced = true;
+      core.addEffect(new Effect.Reintroduced(core.members().membershipOf(core.self().replica())));
+    }
+  }
+
+  private void sendToAll(Set<ProcessId> processes, ReplicationMessage message) {
+    for (ProcessId process : processes) {
+      if (!process.equals(core.self().process())) {
+        core.send(process, message);
       }
     }
-    foundIfAllAreEmpty(now);
   }
 
   /** Records, on an empty replica, whether another replica is empty too. */
--- a/core/src/main/java/org/verbenawheel/replication/Leadership.java
+++ b/core/src/main/java/org/verbenawheel/replication/Leadership.java
@@ -1,6 +1,7 @@
 package org.verbenawheel.replication;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -8,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.function.Function;
 import org.verbenawheel.replication.ReplicationMessage.Append;
@@ -40,6 +42,7 @@
     this.electedAt = now;
     this.nextHeartbeat = now;
     this.nextMemberCheck = now;
+    trackMembers(now);
   }
 
   /** Appends the entry that commits the entries of earlier terms, and sends it to the others. */
@@ -65,12 +68,10 @@
   private void checkMembers(Instant now) {
     respondingVoters = countRespondingVoters(now);
     if (mayChangeMembers()) {
-      MemberChanges.next(
-              core.members(),
-              core.self(),
-              this::isCaughtUp,
-              voter -> isUnresponsive(voter, now),
-              rules.maximumVoters())
+      memberChanges()
+          .next(
+              learner -> isResponding(learner, now) && isCaughtUp(learner),
+              member -> progressOf(member).silence(now))
           .ifPresent(change -> changeMembers(now, change));
     }
     commitIndexAtCheck = core.commitIndex();
@@ -84,14 +85,17 @@
     return first;
   }
 
-  /** Adds a replica that belongs to no cluster as a learner, if it may join this one. */
+  /** Adds a replica that is no member as a learner, if it may join. */
   void onIntroduction(Instant now, Member newcomer) {
     if (mayChangeMembers()) {
-      MemberChanges.admit(core.members(), core.self(), newcomer)
-          .ifPresent(change -> changeMembers(now, change));
+      memberChanges().admit(newcomer).ifPresent(change -> changeMembers(now, change));
     }
   }
 
+  private MemberChanges memberChanges() {
+    return new MemberChanges(rules, core.members(), core.self());
+  }
+
   private boolean mayChangeMembers() {
     return core.commitIndex() >= termStartIndex
         && core.log().lastMembersIndex() <= core.commitIndex();
@@ -102,18 +106,29 @@
     return progressOf(member).matchIndex() >= Math.max(commitIndexAtCheck, termStartIndex);
   }
 
-  private boolean isUnresponsive(Member voter, Instant now) {
-    Instant acknowledged = progressOf(voter).acknowledgedSentAt();
-    Instant since = acknowledged.isAfter(electedAt) ? acknowledged : electedAt;
-    return !voter.equals(core.self()) && now.isAfter(since.plus(rules.unresponsiveVoterTimeout()));
+  private boolean isResponding(Member member, Instant now) {
+    return progressOf(member)
+        .acknowledgedSentAt()
+        .isAfter(now.minus(core.timings().electionTimeout()));
   }
 
   private void changeMembers(Instant now, MemberChange change) {
     core.addEffect(new Effect.MemberChangeDecided(change, respondingVoters));
     append(now, EntryType.MEMBERS, ImmutableList.of(ReplicationMessages.encode(change.members())));
+    trackMembers(now);
     replicate(now);
   }
 
+  /** Forgets the progress of removed members, and begins anew for those that were added. */
+  private void trackMembers(Instant now) {
+    ImmutableSet<ReplicaId> replicas =
+        core.otherMembers().stream().map(Member::replica).collect(ImmutableSet.toImmutableSet());
+    progress.keySet().retainAll(replicas);
+    for (ReplicaId replica : replicas) {
+      progress.computeIfAbsent(replica, added -> new PeerProgress(core.log().lastIndex() + 1, now));
+    }
+  }
+
   private void append(Instant now, EntryType type, List<Payload> payloads) {
     Instant lastTime = core.log().lastStateTime();
     Instant stateTime = now.isAfter(lastTime) ? now : lastTime;
@@ -288,11 +303,7 @@
   }
 
   private int countRespondingVoters(Instant now) {
-    Instant oldest = now.minus(core.timings().electionTimeout());
-    long others =
-        core.otherVoters().stream()
-            .filter(voter -> progressOf(voter).acknowledgedSentAt().isAfter(oldest))
-            .count();
+    long others = core.otherVoters().stream().filter(voter -> isResponding(voter, now)).count();
     return Math.toIntExact(others) + (core.isVoter() ? 1 : 0);
   }
 
@@ -328,8 +339,7 @@
   }
 
   private PeerProgress progressOf(Member member) {
-    return progress.computeIfAbsent(
-        member.replica(), replica -> new PeerProgress(core.log().lastIndex() + 1));
+    return Objects.requireNonNull(progress.get(member.replica()), "only members have progress");
   }
 
   private record PendingRead(long token, long round) {}
--- a/core/src/main/java/org/verbenawheel/replication/MemberChange.java
+++ b/core/src/main/java/org/verbenawheel/replication/MemberChange.java
@@ -18,6 +18,8 @@
     /** A voter's process runs with a new disk, whose learner has the log. */
     DISK_REPLACED,
     /** A voter has not replied for long, and a learner stands ready to take its place. */
-    VOTER_UNRESPONSIVE
+    VOTER_UNRESPONSIVE,
+    /** A learner has not replied for long. */
+    LEARNER_UNRESPONSIVE
   }
 }
--- a/core/src/main/java/org/verbenawheel/replication/PeerProgress.java
+++ b/core/src/main/java/org/verbenawheel/replication/PeerProgress.java
@@ -1,11 +1,13 @@
 package org.verbenawheel.replication;
 
+import java.time.Duration;
 import java.time.Instant;
 
 /** A leader's record of how far it has replicated to one other replica. Not thread-safe. */
 final class PeerProgress {
   private static final long MAXIMUM_ENTRIES_IN_FLIGHT = 4_096;
 
+  private final Instant trackedSince;
   private long nextIndex;
   private long matchIndex;
   private long acknowledgedRound;
@@ -14,8 +16,15 @@
   private long snapshotOffset;
   private Instant snapshotSentAt = Instant.EPOCH;
 
-  PeerProgress(long nextIndex) {
+  /**
+   * Creates a record without any reply.
+   *
+   * @param nextIndex the index of the first entry to send
+   * @param now the current time
+   */
+  PeerProgress(long nextIndex, Instant now) {
     this.nextIndex = nextIndex;
+    this.trackedSince = now;
   }
 
   /** Returns the index of the next entry to send. */
@@ -38,6 +47,12 @@
     return acknowledgedSentAt;
   }
 
+  /** Returns for how long the replica has not replied, as far as the leader can tell. */
+  Duration silence(Instant now) {
+    Instant since = acknowledgedSentAt.isAfter(trackedSince) ? acknowledgedSentAt : trackedSince;
+    return Duration.between(since, now);
+  }
+
   /** Returns whether more entries may be sent before the replica acknowledges earlier ones. */
   boolean isBelowInFlightLimit() {
     return nextIndex - matchIndex <= MAXIMUM_ENTRIES_IN_FLIGHT;
--- a/core/src/main/java/org/verbenawheel/replication/Replica.java
+++ b/core/src/main/java/org/verbenawheel/replication/Replica.java
@@ -12,6 +12,7 @@
 import org.verbenawheel.replication.ReplicationMessage.AppendReply;
 import org.verbenawheel.replication.ReplicationMessage.Founding;
 import org.verbenawheel.replication.ReplicationMessage.Introduction;
+import org.verbenawheel.replication.ReplicationMessage.Reintroduction;
 import org.verbenawheel.replication.ReplicationMessage.SnapshotChunk;
 import org.verbenawheel.replication.ReplicationMessage.SnapshotReply;
 import org.verbenawheel.replication.ReplicationMessage.TakeOver;
@@ -95,6 +96,8 @@
       onAddressed(now, new Member(from, addressed.header().from()), addressed);
     } else if (message instanceof Introduction introduction) {
       onIntroduction(now, from, introduction);
+    } else if (message instanceof Reintroduction returning) {
+      onReintroduction(now, from, returning);
     } else if (message instanceof Founding founding) {
       formation.onFounding(founding);
     }
@@ -115,12 +118,30 @@
       return;
     }
     formation.answerIntroduction(introduction);
+    admitOrForward(
+        now, from, new Member(introduction.process(), introduction.replica()), introduction);
+  }
+
+  private void onReintroduction(Instant now, ProcessId from, Reintroduction returning) {
+    boolean isMemberOfSameCluster =
+        core.log()
+            .members()
+            .filter(members -> members.cluster().equals(returning.cluster()))
+            .isPresent();
+    if (isMemberOfSameCluster) {
+      admitOrForward(now, from, new Member(returning.process(), returning.replica()), returning);
+    }
+  }
+
+  private void admitOrForward(
+      Instant now, ProcessId from, Member newcomer, ReplicationMessage message) {
     if (leadership != null) {
-      leadership.onIntroduction(now, new Member(introduction.process(), introduction.replica()));
-    } else if (from.equals(introduction.process())) {
-      // A newcomer knows only the processes in its settings; the leader may not be among them. An
-      // introduction that was already forwarded comes from another process and is dropped here.
-      core.leader().ifPresent(leader -> core.send(leader.process(), introduction));
+      leadership.onIntroduction(now, newcomer);
+    } else if (from.equals(newcomer.process())) {
+      // A newcomer knows only the processes in its settings, and a replica that was silent for long
+      // only those of its time; the leader may not be among them. A message that was already
+      // forwarded comes from another process and is dropped here.
+      core.leader().ifPresent(leader -> core.send(leader.process(), message));
     }
   }
 
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaProcess.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaProcess.java
@@ -233,7 +233,7 @@
     private static final int DEFAULT_MAXIMUM_VOTERS = 9;
 
     /** Several elections long, yet short enough that a replaced host is soon among the voters. */
-    private static final Duration UNRESPONSIVE_VOTER_TIMEOUT = Duration.ofMillis(2_500);
+    private static final Duration UNRESPONSIVE_TIMEOUT = Duration.ofMillis(2_500);
 
     private final ProcessId self;
     private final InstantSource clock;
@@ -351,7 +351,7 @@
       checkState(!initialVoters.isEmpty(), "initialVoters not set");
       return new ReplicaSettings(
           self,
-          new ClusterRules(initialVoters, mayFound, maximumVoters, UNRESPONSIVE_VOTER_TIMEOUT),
+          new ClusterRules(initialVoters, mayFound, maximumVoters, UNRESPONSIVE_TIMEOUT),
           timings,
           commandTimeout,
           snapshotInterval,
--- a/core/src/main/java/org/verbenawheel/replication/ReplicationMessage.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicationMessage.java
@@ -122,8 +122,8 @@
   record TakeOver(Header header) implements Addressed {}
 
   /**
-   * Announces a replica without a leader: its folder is empty, or it receives no message from a
-   * leader. A leader may add it as a member; an empty replica may found a cluster with it.
+   * Announces a replica whose log is empty. A leader may add it as a member; an empty replica may
+   * found a cluster with it.
    *
    * @param process the sender's process
    * @param replica the sender's identity
@@ -132,6 +132,17 @@
   record Introduction(ProcessId process, ReplicaId replica, Optional<ClusterId> cluster)
       implements ReplicationMessage {}
 
+  /**
+   * Announces a replica that has a log and receives no message from a leader. A leader of its
+   * cluster adds it as a learner if it is no member any more.
+   *
+   * @param process the sender's process
+   * @param replica the sender's identity
+   * @param cluster the sender's cluster
+   */
+  record Reintroduction(ProcessId process, ReplicaId replica, ClusterId cluster)
+      implements ReplicationMessage {}
+
   /**
    * Informs an empty replica that a new cluster was founded with it.
    *
