Answer introductions of empty replicas only

Two replicas that have a log but do not count each other as members answered each other's introductions without end: a voter that was replaced while it slept, and the newcomer that took its place and has it among its seeds.

The answer tells an empty replica that a cluster exists, so that it founds no other. A replica that names its cluster knows that, and gets no answer. The founding entry is still sent to a founder that lacks it.

JoiningReplicaTest.replicasThatDoNotKnowEachOtherDoNotAnswerForever is the direct test.

--- a/core/src/main/java/org/verbenawheel/replication/Formation.java
+++ b/core/src/main/java/org/verbenawheel/replication/Formation.java
@@ -165,8 +165,9 @@
       core.send(introduction.process(), new Founding(introduction.replica(), founding.get()));
       return;
     }
-    if (core.members().find(introduction.replica()).isPresent()) {
-      // A member needs no reply; two members would reply to each other's introductions forever.
+    if (introduction.cluster().isPresent()) {
+      // It knows that a cluster exists. Two replicas that do not count each other as members would
+      // otherwise reply to each other's introductions forever.
       return;
     }
     core.send(
--- a/core/src/test/java/org/verbenawheel/replication/ImmediateReplicas.java
+++ b/core/src/test/java/org/verbenawheel/replication/ImmediateReplicas.java
@@ -30,6 +30,8 @@
   private final Map<ProcessId, Deque<Delivery>> heldForFrozen = new HashMap<>();
   private final Set<ProcessId> frozen = new HashSet<>();
   private final Set<ProcessId> cutOff = new HashSet<>();
+  private final Set<ProcessId> muted = new HashSet<>();
+  private final Set<ProcessId> separated = new HashSet<>();
   private final Deque<Delivery> messages = new ArrayDeque<>();
   private boolean syncsEnabled = true;
   private Instant now = Instant.parse("2026-01-01T00:00:00Z");
@@ -52,10 +54,15 @@
 
   /** Starts a process with an empty disk that knows only the seed and may not found a cluster. */
   void join(ProcessId process, ProcessId seed) {
+    join(process, ImmutableSortedSet.of(seed));
+  }
+
+  /** Starts a process with an empty disk that knows only the seeds. */
+  void join(ProcessId process, ImmutableSortedSet<ProcessId> seeds) {
     Replica joining =
         new Replica(
             new Member(process, ReplicaId.random()),
-            rules(ImmutableSortedSet.of(seed), false),
+            rules(seeds, false),
             SeededNode.TIMINGS,
             new Random(process.hashCode()),
             RecoveredState.EMPTY,
@@ -140,14 +147,35 @@
     cutOff.remove(process);
   }
 
+  /** Loses the messages that a replica sends, while it receives those of the others. */
+  void mute(ProcessId process) {
+    muted.add(process);
+  }
+
+  void unmute(ProcessId process) {
+    muted.remove(process);
+  }
+
+  /** Loses the messages between these replicas and all others. */
+  void separate(Set<ProcessId> processes) {
+    separated.addAll(processes);
+  }
+
+  void reunite() {
+    separated.clear();
+  }
+
   /** Sets whether writes are synced; if not, no replica gets a sync confirmation. */
   void setSyncsEnabled(boolean value) {
     syncsEnabled = value;
   }
 
   Optional<ProposalOutcome.Position> propose(ProcessId process) {
-    ProposalOutcome outcome =
-        replica(process).propose(now, ImmutableList.of(Payload.of(new byte[] {1})));
+    return propose(process, Payload.of(new byte[] {1}));
+  }
+
+  Optional<ProposalOutcome.Position> propose(ProcessId process, Payload command) {
+    ProposalOutcome outcome = replica(process).propose(now, ImmutableList.of(command));
     run(process, outcome.effects());
     deliverAll();
     return outcome.position();
@@ -176,7 +204,7 @@
       Delivery delivery = messages.remove();
       if (frozen.contains(delivery.to())) {
         Objects.requireNonNull(heldForFrozen.get(delivery.to())).add(delivery);
-      } else if (!cutOff.contains(delivery.from()) && !cutOff.contains(delivery.to())) {
+      } else if (!isLost(delivery)) {
         run(
             delivery.to(),
             replica(delivery.to()).onMessage(now, delivery.from(), delivery.message()));
@@ -184,5 +212,12 @@
     }
   }
 
+  private boolean isLost(Delivery delivery) {
+    return cutOff.contains(delivery.from())
+        || cutOff.contains(delivery.to())
+        || muted.contains(delivery.from())
+        || separated.contains(delivery.from()) != separated.contains(delivery.to());
+  }
+
   private record Delivery(ProcessId from, ProcessId to, ReplicationMessage message) {}
 }
--- a/core/src/test/java/org/verbenawheel/replication/JoiningReplicaTest.java
+++ b/core/src/test/java/org/verbenawheel/replication/JoiningReplicaTest.java
@@ -81,6 +81,26 @@
     assertThat(effects.stream().filter(JoiningReplicaTest::isIntroduction).toList()).isEmpty();
   }
 
+  /** A replica that was replaced and its successor do not count each other as members. */
+  @Test
+  void replicasThatDoNotKnowEachOtherDoNotAnswerForever() {
+    ProcessId leader = replicas.awaitLeader();
+    Member stranger = new Member(new ProcessId("control-9"), ReplicaId.random());
+
+    var effects =
+        replicas
+            .replica(leader)
+            .onMessage(
+                replicas.now(),
+                stranger.process(),
+                new ReplicationMessage.Introduction(
+                    stranger.process(),
+                    stranger.replica(),
+                    Optional.of(members(leader).cluster())));
+
+    assertThat(effects.stream().filter(JoiningReplicaTest::isIntroduction).toList()).isEmpty();
+  }
+
   private static boolean isIntroduction(Effect effect) {
     return effect instanceof Effect.Send send
         && send.message() instanceof ReplicationMessage.Introduction;
