Take a host for gone only by lists requested after its wave began

Cause: the list of the last wave was kept while none ran, and the first tick of the next wave decided on it before the new list was there. Hosts that it lacked were recorded as finished for good.

HostListing keeps the answers with the moment of their request, and can only be read with a moment that they must not be older than: the moment when this leader first saw the wave or, at the end of a maintenance, its earliest end. A host is gone once two lists lack it and no worker that reported it answers; then the platform is asked by the order itself, and 400 (no such machine, PROTOCOL.md) finishes it.

Related path: a host that is ordered but listed no more was ordered down by one list, without evacuation; the same rule holds there. A new wave requests a list at once.

The fake platform refuses orders for hosts that it lacks, as the page says.

--- a/core/src/main/java/org/verbenawheel/execution/Evacuations.java
+++ b/core/src/main/java/org/verbenawheel/execution/Evacuations.java
@@ -68,6 +68,12 @@
     return cordonedWorkers.contains(worker);
   }
 
+  /** Returns whether a worker that reported to run on a host answers. */
+  boolean hasAnsweringWorker(String host) {
+    return sessions.values().stream()
+        .anyMatch(session -> session.worker().host().equals(host) && session.isAnswering());
+  }
+
   private void updateCordonedWorkers() {
     cordonedWorkers =
         evacuations.values().stream()
--- a/core/src/main/java/org/verbenawheel/execution/WaveController.java
+++ b/core/src/main/java/org/verbenawheel/execution/WaveController.java
@@ -6,8 +6,8 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -39,7 +39,11 @@
   private final Evacuations evacuations;
   private final Predicate<String> isMoving;
   private final HostOrderRecorder orderRecorder;
-  private final Map<String, Host> hosts = new LinkedHashMap<>();
+  private final HostListing listing = new HostListing();
+
+  /** When this leader first saw each running wave; an earlier list may lack hosts of the wave. */
+  private final Map<Long, Instant> seenAt = new HashMap<>();
+
   private final Map<String, Instant> begunAt = new HashMap<>();
   private final Map<String, Instant> nextOrderAt = new HashMap<>();
 
@@ -49,7 +53,6 @@
    */
   private final Set<String> inFlight = new HashSet<>();
 
-  private Optional<Instant> listedAt = Optional.empty();
   private Instant nextListAt;
 
   WaveController(
@@ -77,19 +80,33 @@
   /** Refreshes the list of hosts if it is old, and advances all running waves. */
   void onTick(Instant now) {
     ImmutableList<Wave> running = waveRegistry.running();
+    seenAt.keySet().retainAll(running.stream().map(Wave::number).toList());
     if (running.isEmpty()) {
       evacuations.retainOnly(Set.of());
       return;
     }
+    for (Wave wave : running) {
+      if (seenAt.putIfAbsent(wave.number(), now) == null) {
+        nextListAt = now;
+      }
+    }
     listIfDue(now);
-    if (listedAt.isEmpty()) {
+    ImmutableList<Wave> listed =
+        running.stream()
+            .filter(wave -> listing.isSince(seenAt(wave)))
+            .collect(ImmutableList.toImmutableList());
+    if (listed.isEmpty()) {
       return;
     }
     Set<String> evacuating = new HashSet<>();
-    running.forEach(wave -> advance(wave, now, evacuating));
+    listed.forEach(wave -> advance(wave, now, evacuating));
     evacuations.retainOnly(evacuating);
   }
 
+  private Instant seenAt(Wave wave) {
+    return Objects.requireNonNull(seenAt.get(wave.number()), "a running wave has been seen");
+  }
+
   private void listIfDue(Instant now) {
     if (now.isBefore(nextListAt)) {
       return;
@@ -106,9 +123,7 @@
                     .with("reason", String.valueOf(failure)));
             return;
           }
-          hosts.clear();
-          listed.forEach(host -> hosts.put(host.name(), host));
-          listedAt = Optional.of(now);
+          listing.accept(now, listed);
         });
   }
 
@@ -119,11 +134,11 @@
     for (Map.Entry<String, UpkeepPhase> entry : wave.hosts().entrySet()) {
       String name = entry.getKey();
       if (entry.getValue() != UpkeepPhase.FINISHED) {
-        poolOf(name).ifPresent(pool -> unfinishedInPool.merge(pool, 1, Integer::sum));
+        poolOf(wave, name).ifPresent(pool -> unfinishedInPool.merge(pool, 1, Integer::sum));
       }
       if (entry.getValue().isDown() || evacuations.isUnderWay(name)) {
         busy++;
-        poolOf(name).ifPresent(pool -> busyInPool.merge(pool, 1, Integer::sum));
+        poolOf(wave, name).ifPresent(pool -> busyInPool.merge(pool, 1, Integer::sum));
       }
     }
     for (Map.Entry<String, UpkeepPhase> entry : wave.hosts().entrySet()) {
@@ -131,16 +146,26 @@
       switch (entry.getValue()) {
         case ORDERED -> {
           evacuating.add(name);
-          Optional<Host> host = Optional.ofNullable(hosts.get(name));
-          if (host.isEmpty() || isStillEmpty(wave, host.get(), now)) {
+          Optional<Host> host = listing.find(name, seenAt(wave));
+          boolean isEmpty =
+              host.isPresent() ? isStillEmpty(wave, host.get(), now) : isGone(wave, name);
+          if (isEmpty) {
             orderMaintenance(wave, name);
           }
         }
         case BEGUN -> finishIfMaintenanceEnded(wave, name, now);
         case PENDING -> {
-          Optional<Host> host = Optional.ofNullable(hosts.get(name));
+          Optional<Host> host = listing.find(name, seenAt(wave));
           if (host.isEmpty()) {
-            recordPhase(wave, name, UpkeepPhase.FINISHED, "the platform lists no such host");
+            boolean counted = evacuations.isUnderWay(name);
+            if (counted) {
+              evacuating.add(name);
+            }
+            // The platform says for certain that there is no such host when it refuses the order.
+            if (isGone(wave, name) && (counted || busy < wave.maximumDown())) {
+              busy += counted ? 0 : 1;
+              commitOrdered(wave, name);
+            }
           } else if (evacuations.isUnderWay(name)) {
             evacuating.add(name);
             orderIfEmpty(wave, host.get(), now);
@@ -162,8 +187,12 @@
     }
   }
 
-  private Optional<String> poolOf(String host) {
-    return Optional.ofNullable(hosts.get(host)).map(Host::pool);
+  private Optional<String> poolOf(Wave wave, String host) {
+    return listing.find(host, seenAt(wave)).map(Host::pool);
+  }
+
+  private boolean isGone(Wave wave, String host) {
+    return listing.isGone(host, seenAt(wave)) && !evacuations.hasAnsweringWorker(host);
   }
 
   /**
@@ -200,10 +229,16 @@
   }
 
   private void orderIfEmpty(Wave wave, Host host, Instant now) {
-    if (evacuate(wave, host, now) && inFlight.add(host.name())) {
+    if (evacuate(wave, host, now)) {
+      commitOrdered(wave, host.name());
+    }
+  }
+
+  private void commitOrdered(Wave wave, String host) {
+    if (inFlight.add(host)) {
       context.whenDone(
-          sink.commit(new RecordUpkeep(wave.number(), host.name(), UpkeepPhase.ORDERED)),
-          (reply, failure) -> inFlight.remove(host.name()));
+          sink.commit(new RecordUpkeep(wave.number(), host, UpkeepPhase.ORDERED)),
+          (reply, failure) -> inFlight.remove(host));
     }
   }
 
@@ -232,7 +267,8 @@
                   .with("outcome", outcome == null ? String.valueOf(failure) : outcome));
           if (outcome == OrderOutcome.DONE) {
             begunAt.put(host, context.now());
-            Optional.ofNullable(hosts.get(host))
+            listing
+                .find(host, seenAt.getOrDefault(wave.number(), context.now()))
                 .flatMap(Host::worker)
                 .ifPresent(evacuations::onWorkerEnded);
             recordPhase(wave, host, UpkeepPhase.BEGUN, "ordered");
@@ -245,9 +281,12 @@
 
   private void finishIfMaintenanceEnded(Wave wave, String host, Instant now) {
     Instant earliest = begunAt.computeIfAbsent(host, unused -> now).plus(timings.maintenance());
-    boolean listedSince = listedAt.filter(at -> at.isAfter(earliest)).isPresent();
-    HostState state = Optional.ofNullable(hosts.get(host)).map(Host::state).orElse(HostState.UP);
-    if (listedSince && (state == HostState.UP || state == HostState.DOWN)) {
+    boolean isBack =
+        listing
+            .find(host, earliest)
+            .filter(listed -> listed.state() == HostState.UP || listed.state() == HostState.DOWN)
+            .isPresent();
+    if (isBack || listing.isGone(host, earliest)) {
       recordPhase(wave, host, UpkeepPhase.FINISHED, "the host is no longer in maintenance");
     }
   }
--- a/core/src/test/java/org/verbenawheel/execution/FakeHosts.java
+++ b/core/src/test/java/org/verbenawheel/execution/FakeHosts.java
@@ -3,10 +3,12 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 /** A platform that carries out orders at once. */
@@ -15,6 +17,9 @@
   private final List<String> runningAtMaintenance = new ArrayList<>();
   private final Map<String, Host> hosts = new LinkedHashMap<>();
   private final List<String> maintained = new ArrayList<>();
+  private final Set<String> omittedOnce = new HashSet<>();
+  private final List<Runnable> heldLists = new ArrayList<>();
+  private boolean holdsLists;
   private OrderOutcome moveOutcome = OrderOutcome.DONE;
   private OrderOutcome maintenanceOutcome = OrderOutcome.DONE;
   private int moveOrders;
@@ -42,13 +47,46 @@
     return pools.buildOrThrow();
   }
 
+  void remove(String host) {
+    hosts.remove(host);
+  }
+
+  /** Leaves a host out of the next list. */
+  void omitOnce(String host) {
+    omittedOnce.add(host);
+  }
+
+  /** Sets whether lists are held back; released ones show the hosts as of their request. */
+  void holdLists(boolean value) {
+    holdsLists = value;
+    if (!value) {
+      List<Runnable> released = ImmutableList.copyOf(heldLists);
+      heldLists.clear();
+      released.forEach(Runnable::run);
+    }
+  }
+
   @Override
   public CompletableFuture<ImmutableList<Host>> list() {
-    return CompletableFuture.completedFuture(ImmutableList.copyOf(hosts.values()));
+    ImmutableList<Host> listed =
+        hosts.values().stream()
+            .filter(host -> !omittedOnce.contains(host.name()))
+            .collect(ImmutableList.toImmutableList());
+    omittedOnce.clear();
+    CompletableFuture<ImmutableList<Host>> answer = new CompletableFuture<>();
+    if (holdsLists) {
+      heldLists.add(() -> answer.complete(listed));
+    } else {
+      answer.complete(listed);
+    }
+    return answer;
   }
 
   @Override
   public CompletableFuture<OrderOutcome> maintain(String host, long wave, OrderIssuer orderIssuer) {
+    if (!hosts.containsKey(host)) {
+      return CompletableFuture.completedFuture(OrderOutcome.IMPOSSIBLE);
+    }
     if (maintenanceOutcome == OrderOutcome.DONE) {
       maintained.add(host);
       Optional.ofNullable(hosts.get(host))
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -37,6 +37,7 @@
 import org.verbenawheel.replication.ControlCommand;
 import org.verbenawheel.replication.StatePart;
 import org.verbenawheel.request.RunVerdict;
+import org.verbenawheel.wave.Wave;
 import org.verbenawheel.wave.WaveRegistry;
 import org.verbenawheel.worker.Worker;
 import org.verbenawheel.worker.WorkerRegistry;
@@ -171,6 +172,10 @@
     return hosts;
   }
 
+  Wave wave(long number) {
+    return waves.find(number).orElseThrow();
+  }
+
   Instant now() {
     return now;
   }
