--- a/core/src/main/java/org/verbenawheel/execution/HostMover.java
+++ b/core/src/main/java/org/verbenawheel/execution/HostMover.java
@@ -46,6 +46,10 @@
   private final PoolDemand poolDemand;
   private final PoolSizing sizing;
   private final Map<String, Host> standbyHosts = new HashMap<>();
+
+  /** When the platform confirmed the latest move of a host; an older list shows its former pool. */
+  private final Map<String, Instant> movedAt = new HashMap<>();
+
   private final Map<String, Move> moves = new HashMap<>();
   private final Map<String, Instant> idleSince = new HashMap<>();
   private final Set<String> lentHosts = new HashSet<>();
@@ -54,6 +58,9 @@
   private boolean listInFlight;
   private Optional<Instant> listedAt = Optional.empty();
 
+  /** The standby pool that the listed hosts belong to. */
+  private String listedPool = "";
+
   HostMover(
       FleetContext context,
       FleetConfigurationState configuration,
@@ -117,6 +124,11 @@
     if (standby.isEmpty()) {
       return;
     }
+    if (!standby.get().equals(listedPool)) {
+      listedPool = standby.get();
+      listedAt = Optional.empty();
+      standbyHosts.clear();
+    }
     removeEndedMoves(now);
     listIfDue(now, standby.get());
     if (listedAt.isEmpty()) {
@@ -164,6 +176,9 @@
         calls.list(),
         (hosts, failure) -> {
           listInFlight = false;
+          if (!standby.equals(listedPool)) {
+            return;
+          }
           listedAt = Optional.of(now);
           if (hosts == null) {
             logger.atWarning().log(
@@ -173,16 +188,24 @@
                     .with("reason", String.valueOf(failure)));
             return;
           }
-          standbyHosts.clear();
-          for (Host host : hosts) {
-            if (host.pool().equals(standby) && host.state() == HostState.UP) {
-              standbyHosts.put(host.name(), host);
-              lentHosts.remove(host.name());
-            }
-          }
+          onListed(now, standby, hosts);
         });
   }
 
+  /** Takes over a list, except for hosts that moved after it was requested. */
+  private void onListed(Instant askedAt, String standby, ImmutableList<Host> hosts) {
+    movedAt.values().removeIf(moved -> moved.isBefore(askedAt));
+    standbyHosts.keySet().retainAll(movedAt.keySet());
+    for (Host host : hosts) {
+      if (host.pool().equals(standby)
+          && host.state() == HostState.UP
+          && !movedAt.containsKey(host.name())) {
+        standbyHosts.put(host.name(), host);
+        lentHosts.remove(host.name());
+      }
+    }
+  }
+
   /**
    * Removes moves whose host has a worker that reported in the new pool, and moves older than
    * {@code longestMove}.
@@ -326,6 +349,7 @@
   }
 
   private void onMoved(String host, String pool) {
+    movedAt.put(host, context.now());
     sessions.values().stream()
         .map(WorkerSession::worker)
         .filter(worker -> worker.host().equals(host) && !worker.pool().equals(pool))
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -60,6 +60,7 @@
           Duration.ofMinutes(5));
 
   static final Duration ORDER_LEASE = Duration.ofMillis(3_500);
+  static final Duration SPARE_LIST_INTERVAL = Duration.ofSeconds(5);
 
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
@@ -152,7 +153,7 @@
                 Duration.ofSeconds(5)),
             new MoveTimings(
                 ORDER_LEASE,
-                Duration.ofSeconds(5),
+                SPARE_LIST_INTERVAL,
                 Duration.ofMillis(1_800),
                 Duration.ofSeconds(4),
                 Duration.ofMillis(100),
--- a/core/src/test/java/org/verbenawheel/execution/FleetHostsTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHostsTest.java
@@ -213,6 +213,52 @@
     assertThat(harness.hosts().pools()).containsEntry("host-s1", "spares");
   }
 
+  // A list requested before the move shows the host where it was.
+  @Test
+  void hostLentWhileAListIsUnderWayIsReturned() {
+    harness.report("w1");
+    addHost("s1", "spares");
+    harness.advance(Duration.ofMillis(100));
+    harness.hosts().holdLists(true);
+    harness.advance(FleetHarness.SPARE_LIST_INTERVAL);
+    harness.submit("a", StepSpecification.builder().taskCount(40).uses(1_000, 1, 0).build());
+    harness.advance(Duration.ofSeconds(1));
+    assertThat(harness.hosts().pools()).containsEntry("host-s1", "p");
+    harness.hosts().holdLists(false);
+    harness.report("s1");
+    harness.advance(Duration.ofMillis(500));
+
+    harness.worker("w1").endAll(RunEnding.DONE);
+    harness.worker("s1").endAll(RunEnding.DONE);
+    harness.advance(Duration.ofSeconds(4));
+
+    assertThat(harness.hosts().pools()).containsEntry("host-s1", "spares");
+  }
+
+  // The hosts of the former standby pool run tasks; a move would end them.
+  @Test
+  void hostsOfAFormerStandbyPoolAreNotLent() {
+    harness.report("w1");
+    addHost("s1", "spares");
+    harness.advance(Duration.ofMillis(100));
+    harness.hosts().holdLists(true);
+    harness.apply(
+        new InstallConfiguration(
+            new FleetConfiguration(
+                2,
+                ImmutableList.of(),
+                ImmutableList.of(
+                    new WorkerPool("p", false, true),
+                    new WorkerPool("spares", false, true),
+                    new WorkerPool("reserve", true, true)),
+                "{}")));
+    harness.submit("a", StepSpecification.builder().taskCount(40).uses(1_000, 1, 0).build());
+
+    harness.advance(Duration.ofSeconds(2));
+
+    assertThat(harness.hosts().moveOrders()).isEqualTo(0);
+  }
+
   @Test
   void standbyHostStaysOffWhileNoTaskWaits() {
     harness.report("w1");
