Let an empty replica introduce itself to those that still send to its old identity

Found by SeededMembersTest while its hosts knew one other host only: two hosts that lose their disks at once, and whose settings name each other and hosts that are gone, introduced themselves to each other for ever, neither voter nor learner.

The leader keeps sending to the identities that were lost. An empty replica now takes the senders of such messages for processes that may know the leader; at most 32 are kept.

JoiningReplicaTest.lostDisksAreReplacedThoughTheirSettingsNameOnlyEachOther failed before.

--- a/core/src/main/java/org/verbenawheel/replication/Formation.java
+++ b/core/src/main/java/org/verbenawheel/replication/Formation.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -28,10 +29,14 @@
   private static final long FOUNDING_INDEX = 1;
   private static final long FOUNDING_TERM = 1;
 
+  /** Bounds what messages of strangers can make this replica keep; several times a cluster. */
+  private static final int MAXIMUM_SENDERS = 32;
+
   private final ReplicaCore core;
   private final ImmutableSortedSet<ProcessId> initialVoters;
   private final boolean mayFoundCluster;
   private final Map<ProcessId, EmptyVoter> emptyVoters = new HashMap<>();
+  private final Set<ProcessId> senders = new HashSet<>();
   private Instant nextIntroduction;
   private boolean reintroduced;
 
@@ -53,7 +58,7 @@
     if (core.log().members().isEmpty()) {
       nextIntroduction = now.plus(core.timings().heartbeat());
       sendToAll(
-          initialVoters,
+          ImmutableSet.<ProcessId>builder().addAll(initialVoters).addAll(senders).build(),
           new Introduction(core.self().process(), core.self().replica(), core.cluster()));
       foundIfAllAreEmpty(now);
     } else if (core.role() == Role.LEADER || core.mayHaveLeader(now)) {
@@ -64,6 +69,16 @@
     }
   }
 
+  /**
+   * Records the sender of a message for the identity that this process had before its disk was
+   * lost. It may know the leader when no process in the settings does.
+   */
+  void onMessageForOther(ProcessId sender) {
+    if (core.log().members().isEmpty() && senders.size() < MAXIMUM_SENDERS) {
+      senders.add(sender);
+    }
+  }
+
   /**
    * Asks the leader, if there is one, to take this replica in again. A replica that was silent for
    * long may have been removed; then no leader sends to it, and its own log does not say why.
--- a/core/src/main/java/org/verbenawheel/replication/Replica.java
+++ b/core/src/main/java/org/verbenawheel/replication/Replica.java
@@ -150,6 +150,7 @@
     boolean isOtherCluster =
         core.cluster().filter(own -> !own.equals(message.header().cluster())).isPresent();
     if (!isForThisReplica || isOtherCluster) {
+      formation.onMessageForOther(from.process());
       return;
     }
     if (message instanceof VoteRequest request) {
--- a/core/src/test/java/org/verbenawheel/replication/JoiningReplicaTest.java
+++ b/core/src/test/java/org/verbenawheel/replication/JoiningReplicaTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.verbenawheel.identity.ProcessId;
@@ -43,6 +44,28 @@
     assertThat(members(leader).retired()).hasSize(1);
   }
 
+  // Two hosts that lose their disks at once may know only each other and hosts that are gone.
+  @Test
+  void lostDisksAreReplacedThoughTheirSettingsNameOnlyEachOther() {
+    ProcessId leader = replicas.awaitLeader();
+    for (ProcessId newcomer : List.of(new ProcessId("control-4"), new ProcessId("control-5"))) {
+      replicas.join(newcomer, leader);
+      replicas.advance(SETTLE_TIME);
+    }
+    List<ProcessId> followers =
+        members(leader).voters().stream()
+            .map(Member::process)
+            .filter(process -> !process.equals(leader))
+            .toList();
+
+    replicas.join(followers.get(0), followers.get(1));
+    replicas.join(followers.get(1), followers.get(0));
+    replicas.advance(SETTLE_TIME);
+
+    assertThat(members(leader).voters()).hasSize(5);
+    assertThat(members(leader).retired()).hasSize(2);
+  }
+
   /**
    * Reads send heartbeats; membership changes must not wait for a heartbeat timer that reads reset.
    */
