Announce the leaving of a voter, so that a ready learner takes its place at once

And a frozen voter could be replaced in its place.

A replica that is stopped sends Departure to the members, after it handed leadership on; from then on it sends nothing. A learner that is ready takes the place of a voter that leaves before that of one that is silent. Without a learner nothing changes. A reply from the replica later than the announcement takes it back, as after a restart in place; a replica that is opened again after a disk failure announces nothing.

ReplacedVoterTest: voterThatAnnouncesItsLeavingIsReplacedAtOnce, voterThatLeavesGoesBeforeOneThatIsSilent, leaderThatLeavesIsReplacedByItsSuccessor, voterThatRepliesAfterItsLeavingKeepsItsPlace. SeededMembersTest stops planned ones this way.

--- a/core/src/main/java/org/verbenawheel/replication/Leadership.java
+++ b/core/src/main/java/org/verbenawheel/replication/Leadership.java
@@ -93,7 +93,8 @@
   }
 
   private MemberChanges memberChanges() {
-    return new MemberChanges(rules, core.members(), core.self());
+    return new MemberChanges(
+        rules, core.members(), core.self(), member -> core.isLeaving(member.replica()));
   }
 
   private boolean mayChangeMembers() {
--- a/core/src/main/java/org/verbenawheel/replication/MemberChange.java
+++ b/core/src/main/java/org/verbenawheel/replication/MemberChange.java
@@ -17,6 +17,8 @@
     CAUGHT_UP,
     /** A voter's process runs with a new disk, whose learner has the log. */
     DISK_REPLACED,
+    /** A voter's process is being stopped, and a learner stands ready to take its place. */
+    VOTER_LEAVING,
     /** A voter has not replied for long, and a learner stands ready to take its place. */
     VOTER_UNRESPONSIVE,
     /** A learner has not replied for long. */
--- a/core/src/main/java/org/verbenawheel/replication/MemberChanges.java
+++ b/core/src/main/java/org/verbenawheel/replication/MemberChanges.java
@@ -24,6 +24,7 @@
   private final ClusterRules rules;
   private final ClusterMembers members;
   private final Member leader;
+  private final Predicate<Member> isLeaving;
 
   /**
    * Creates the decisions for the members in force.
@@ -31,8 +32,11 @@
    * @param rules how many replicas vote, and how long a member may be silent
    * @param members the members in force
    * @param leader the replica that decides
+   * @param isLeaving whether a member has announced that it leaves
    */
-  MemberChanges(ClusterRules rules, ClusterMembers members, Member leader) {
+  MemberChanges(
+      ClusterRules rules, ClusterMembers members, Member leader, Predicate<Member> isLeaving) {
+    this.isLeaving = isLeaving;
     this.rules = rules;
     this.members = members;
     this.leader = leader;
@@ -55,7 +59,8 @@
 
   /**
    * Returns the next change: a learner that is ready fills a free voter place, replaces the voter
-   * of its own process, or replaces an unresponsive voter; an unresponsive learner is removed.
+   * of its own process, or replaces a voter that leaves or is unresponsive; an unresponsive learner
+   * is removed.
    *
    * @param isReady whether a learner replies and has all committed entries on its disk
    * @param silence how long a member has not replied
@@ -66,6 +71,7 @@
         members.learners().stream()
             .filter(learner -> !learner.process().equals(leader.process()))
             .filter(isReady)
+            .filter(learner -> !isLeaving.test(learner))
             .collect(ImmutableList.toImmutableList());
     return promotion(ready)
         .or(() -> retirement(ready))
@@ -95,10 +101,17 @@
     if (ready.isEmpty()) {
       return Optional.empty();
     }
-    return longestUnresponsive(members.voters(), silence)
-        .map(
-            voter ->
-                new MemberChange(Reason.VOTER_UNRESPONSIVE, voter, members.withoutVoter(voter)));
+    return members.voters().stream()
+        .filter(isLeaving)
+        .findFirst()
+        .map(voter -> new MemberChange(Reason.VOTER_LEAVING, voter, members.withoutVoter(voter)))
+        .or(
+            () ->
+                longestUnresponsive(members.voters(), silence)
+                    .map(
+                        voter ->
+                            new MemberChange(
+                                Reason.VOTER_UNRESPONSIVE, voter, members.withoutVoter(voter))));
   }
 
   private Optional<MemberChange> removal(Function<Member, Duration> silence) {
--- a/core/src/main/java/org/verbenawheel/replication/Replica.java
+++ b/core/src/main/java/org/verbenawheel/replication/Replica.java
@@ -10,6 +10,7 @@
 import org.verbenawheel.replication.ReplicationMessage.Addressed;
 import org.verbenawheel.replication.ReplicationMessage.Append;
 import org.verbenawheel.replication.ReplicationMessage.AppendReply;
+import org.verbenawheel.replication.ReplicationMessage.Departure;
 import org.verbenawheel.replication.ReplicationMessage.Founding;
 import org.verbenawheel.replication.ReplicationMessage.Introduction;
 import org.verbenawheel.replication.ReplicationMessage.Reintroduction;
@@ -36,6 +37,7 @@
   private final ClusterRules rules;
   private @Nullable Leadership leadership;
   private RoleAndTerm lastReported;
+  private boolean departed;
 
   /**
    * Creates a replica that continues from its state on disk.
@@ -163,6 +165,11 @@
       advanceElectionIfWon(now);
       return;
     }
+    if (message instanceof Departure) {
+      // A leader hands over before it leaves, so its successor may be in the next term already.
+      onDeparture(from);
+      return;
+    }
     core.bindToCluster(message.header().cluster());
     if (message.header().term() > core.term()) {
       becomeFollower(message.header().term(), Optional.empty());
@@ -170,6 +177,12 @@
     onCurrentOrOlderTerm(now, from, message);
   }
 
+  private void onDeparture(Member from) {
+    if (isMember(from)) {
+      core.onDeparture(from.replica());
+    }
+  }
+
   private void onVoteRequest(Instant now, Member candidate, VoteRequest request) {
     boolean mayHaveLeader = leadership != null || core.mayHaveLeader(now);
     if (request.preVote()) {
@@ -223,6 +236,7 @@
       election.startVote(now, true);
       advanceElectionIfWon(now);
     } else if (leadership != null && message instanceof AppendReply reply) {
+      core.onReplyFrom(from.replica());
       leadership.onAppendReply(now, from, reply);
     } else if (leadership != null && message instanceof SnapshotReply reply) {
       leadership.onSnapshotReply(now, from, reply);
@@ -344,6 +358,25 @@
     return drainEffects();
   }
 
+  /**
+   * Gives up leadership as {@link #transferLeadership} does, and announces to the other members
+   * that this replica leaves. Later calls have no effects, since a reply of this replica would mean
+   * that it is back.
+   *
+   * @param now the current time
+   */
+  public ImmutableList<Effect> depart(Instant now) {
+    if (core.log().members().isEmpty()) {
+      return drainEffects();
+    }
+    ImmutableList<Effect> transferred = transferLeadership(now);
+    for (Member member : core.otherMembers()) {
+      core.send(member.process(), new Departure(core.headerTo(member)));
+    }
+    departed = true;
+    return ImmutableList.<Effect>builder().addAll(transferred).addAll(core.drainEffects()).build();
+  }
+
   /** Returns the snapshot point for the state after an entry; empty if it is not in memory. */
   public Optional<SnapshotPoint> snapshotPointAt(long index) {
     return core.log()
@@ -374,6 +407,10 @@
   }
 
   private ImmutableList<Effect> drainEffects() {
+    if (departed) {
+      core.drainEffects();
+      return ImmutableList.of();
+    }
     RoleAndTerm current = new RoleAndTerm(core.role(), core.term(), core.leader());
     if (!current.equals(lastReported)) {
       lastReported = current;
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaCore.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaCore.java
@@ -4,8 +4,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.verbenawheel.identity.ProcessId;
 import org.verbenawheel.replication.ReplicationMessage.Header;
@@ -28,6 +30,7 @@
   private Instant lastLeaderContact;
   private Optional<Instant> lastGrantedVote = Optional.empty();
   private Instant electionDeadline;
+  private final Set<ReplicaId> leaving = new HashSet<>();
 
   ReplicaCore(
       Member self,
@@ -89,6 +92,22 @@
     return log.members().orElseThrow();
   }
 
+  /** Records that a member announced that its process is being stopped. */
+  void onDeparture(ReplicaId replica) {
+    leaving.retainAll(members().all().stream().map(Member::replica).toList());
+    leaving.add(replica);
+  }
+
+  /** Records that a replica replied, so it is back if it had left. */
+  void onReplyFrom(ReplicaId replica) {
+    leaving.remove(replica);
+  }
+
+  /** Returns whether a member announced that it leaves and has not replied since. */
+  boolean isLeaving(ReplicaId replica) {
+    return leaving.contains(replica);
+  }
+
   /** Returns the members other than this replica. */
   ImmutableList<Member> otherMembers() {
     return members().all().stream()
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaLauncher.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaLauncher.java
@@ -109,7 +109,8 @@
     if (stopped) {
       return;
     }
-    close(Duration.ZERO);
+    running().ifPresent(RunningReplica::close);
+    running = null;
     try {
       launch();
     } catch (StorageException | DamagedSnapshotException unusable) {
@@ -117,18 +118,11 @@
     }
   }
 
-  private void close(Duration grace) {
-    RunningReplica closed = running;
-    if (closed != null) {
-      closed.stop(grace);
-      running = null;
-    }
-  }
-
-  /** Stops the replica, as {@link RunningReplica#stop}. */
+  /** Stops the replica, as {@link RunningReplica#leave}. */
   synchronized void stop(Duration grace) {
     stopped = true;
     executor.shutdownNow();
-    close(grace);
+    running().ifPresent(replica -> replica.leave(grace));
+    running = null;
   }
 }
--- a/core/src/main/java/org/verbenawheel/replication/ReplicationMessage.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicationMessage.java
@@ -121,6 +121,14 @@
    */
   record TakeOver(Header header) implements Addressed {}
 
+  /**
+   * Announces that the sender's process is being stopped. A learner that is ready takes the place
+   * of a voter that leaves.
+   *
+   * @param header the sender, the receiver and the term
+   */
+  record Departure(Header header) implements Addressed {}
+
   /**
    * Announces a replica whose log is empty. A leader may add it as a member; an empty replica may
    * found a cluster with it.
--- a/core/src/main/java/org/verbenawheel/replication/ReplicationMessages.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicationMessages.java
@@ -20,6 +20,7 @@
           .add(107, ReplicationMessage.Introduction.class)
           .add(108, ReplicationMessage.Founding.class)
           .add(109, ReplicationMessage.Reintroduction.class)
+          .add(110, ReplicationMessage.Departure.class)
           .add(120, ClusterMembers.class)
           .add(121, SnapshotPoint.class)
           .add(150, SubmitMessage.SubmitCommand.class)
--- a/core/src/main/java/org/verbenawheel/replication/RunningReplica.java
+++ b/core/src/main/java/org/verbenawheel/replication/RunningReplica.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.verbenawheel.event.Event;
@@ -58,7 +59,8 @@
    * Reads the folder and creates the replica; no thread starts until {@link #start}.
    *
    * @param machine the parts of the state
-   * @param folder closed by {@link #stop}; by the caller if this constructor fails
+   * @param folder closed by {@link #leave} and {@link #close}; by the caller if this constructor
+   *     fails
    * @param statusListener called on the replica's thread at each change of role, term or leader
    * @param failureListener called with each error that keeps this replica from continuing
    */
@@ -262,12 +264,21 @@
 
   /**
    * Refuses new commands, waits at most the grace period for replies to earlier ones, transfers
-   * leadership, and stops the threads.
+   * leadership, announces to the other members that this replica leaves, and stops the threads.
    */
-  void stop(Duration grace) {
+  void leave(Duration grace) {
+    stop(grace, Replica::depart);
+  }
+
+  /** Stops as {@link #leave}, but without the announcement, since the replica is opened again. */
+  void close() {
+    stop(Duration.ZERO, Replica::transferLeadership);
+  }
+
+  private void stop(Duration grace, BiFunction<Replica, Instant, ImmutableList<Effect>> farewell) {
     stopping = true;
     waitForPending(grace);
-    transferLeadership();
+    handOver(farewell);
     Threads.stop(executor);
     state.stop();
     storage.stop();
@@ -285,12 +296,12 @@
     }
   }
 
-  private void transferLeadership() {
+  private void handOver(BiFunction<Replica, Instant, ImmutableList<Effect>> farewell) {
     CompletableFuture<ImmutableList<Effect>> transferred = new CompletableFuture<>();
     boolean accepted =
         tryExecute(
             () -> {
-              ImmutableList<Effect> requested = replica.transferLeadership(clock.instant());
+              ImmutableList<Effect> requested = farewell.apply(replica, clock.instant());
               effectRunner.run(requested);
               transferred.complete(requested);
             });
--- a/core/src/test/java/org/verbenawheel/replication/ReplacedVoterTest.java
+++ b/core/src/test/java/org/verbenawheel/replication/ReplacedVoterTest.java
@@ -12,6 +12,7 @@
 /** Tests what becomes of a voter that was replaced while nothing could be heard of it. */
 final class ReplacedVoterTest {
   private static final Duration SETTLE_TIME = Duration.ofSeconds(3);
+  private static final Duration SHORT_TIME = Duration.ofMillis(300);
   private static final ProcessId FOURTH = new ProcessId("control-4");
   private static final ProcessId FIFTH = new ProcessId("control-5");
   private static final ProcessId SIXTH = new ProcessId("control-6");
@@ -124,6 +125,81 @@
     assertThat(members().voters()).hasSize(5);
   }
 
+  // Until its place is taken, a voter that left counts as lost, and two more losses end the quorum.
+  @Test
+  void voterThatAnnouncesItsLeavingIsReplacedAtOnce() {
+    replicas.join(SIXTH, leader);
+    replicas.advance(SETTLE_TIME);
+    ProcessId leaving = follower(0);
+
+    leave(leaving);
+    replicas.advance(SHORT_TIME);
+
+    assertThat(isVoter(SIXTH)).isTrue();
+    assertThat(isVoter(leaving)).isFalse();
+  }
+
+  @Test
+  void voterThatLeavesGoesBeforeOneThatIsSilent() {
+    ProcessId frozen = follower(0);
+    ProcessId leaving = follower(1);
+    replicas.freeze(frozen);
+    replicas.advance(SHORT_TIME);
+    replicas.join(SIXTH, leader);
+    leave(leaving);
+    replicas.advance(SETTLE_TIME);
+
+    assertThat(isVoter(SIXTH)).isTrue();
+    assertThat(isVoter(frozen)).isTrue();
+    assertThat(isVoter(leaving)).isFalse();
+  }
+
+  @Test
+  void leaderThatLeavesIsReplacedByItsSuccessor() {
+    replicas.join(SIXTH, leader);
+    replicas.advance(SETTLE_TIME);
+    ProcessId leaving = leader;
+
+    leave(leaving);
+    leader = replicas.awaitLeader();
+    replicas.advance(SHORT_TIME);
+
+    assertThat(isVoter(SIXTH)).isTrue();
+    assertThat(isVoter(leaving)).isFalse();
+  }
+
+  // A restart in place announces the leaving too; no newcomer may take the place afterwards.
+  @Test
+  void voterThatRepliesAfterItsLeavingKeepsItsPlace() {
+    Member restarted = members().voterOf(follower(0)).orElseThrow();
+    replicas.run(
+        leader,
+        replicas
+            .replica(leader)
+            .onMessage(
+                replicas.now(),
+                restarted.process(),
+                new ReplicationMessage.Departure(
+                    new ReplicationMessage.Header(
+                        members().cluster(),
+                        restarted.replica(),
+                        replicas.replica(leader).status().replica(),
+                        replicas.replica(leader).status().term()))));
+    replicas.advance(SHORT_TIME);
+
+    replicas.join(SIXTH, leader);
+    replicas.advance(SETTLE_TIME);
+
+    assertThat(isVoter(restarted.process())).isTrue();
+    assertThat(isVoter(SIXTH)).isFalse();
+  }
+
+  private void leave(ProcessId process) {
+    replicas.run(process, replicas.replica(process).depart(replicas.now()));
+    replicas.deliverAll();
+    replicas.cutOff(process);
+  }
+
   private void thaw(ProcessId process) {
     replicas.thaw(process);
     replicas.deliverHeld(process);
--- a/core/src/test/java/org/verbenawheel/replication/SeededMembers.java
+++ b/core/src/test/java/org/verbenawheel/replication/SeededMembers.java
@@ -135,7 +135,7 @@
       }
       case PLANNED_REPLACEMENT -> {
         at(begin, this::startNewHost);
-        at(end, () -> stopForGood(host));
+        at(end, () -> leave(host));
       }
       case UNPLANNED_REPLACEMENT -> {
         at(begin, () -> stopForGood(host));
@@ -153,6 +153,12 @@
     replicas.deliverHeld(host);
   }
 
+  private void leave(ProcessId host) {
+    replicas.run(host, replicas.replica(host).depart(replicas.now()));
+    replicas.deliverAll();
+    stopForGood(host);
+  }
+
   private void stopForGood(ProcessId host) {
     replicas.cutOff(host);
     living.remove(host);
