Forget a leaving that was announced before the silence of a voter would tell it

Only the leader hears that a replica is back, so a replica that became leader long after a voter had restarted could still take it for leaving and give its place to a spare.

--- a/core/src/main/java/org/verbenawheel/replication/Leadership.java
+++ b/core/src/main/java/org/verbenawheel/replication/Leadership.java
@@ -68,7 +68,7 @@
   private void checkMembers(Instant now) {
     respondingVoters = countRespondingVoters(now);
     if (mayChangeMembers()) {
-      memberChanges()
+      memberChanges(now)
           .next(
               learner -> isResponding(learner, now) && isCaughtUp(learner),
               member -> progressOf(member).silence(now))
@@ -88,13 +88,19 @@
   /** Adds a replica that is no member as a learner, if it may join. */
   void onIntroduction(Instant now, Member newcomer) {
     if (mayChangeMembers()) {
-      memberChanges().admit(newcomer).ifPresent(change -> changeMembers(now, change));
+      memberChanges(now).admit(newcomer).ifPresent(change -> changeMembers(now, change));
     }
   }
 
-  private MemberChanges memberChanges() {
+  private MemberChanges memberChanges(Instant now) {
+    // Only the leader hears that a replica is back, so an older announcement may be out of date;
+    // by then the silence of a replica that left tells the same.
+    Instant earliest = now.minus(rules.unresponsiveTimeout());
     return new MemberChanges(
-        rules, core.members(), core.self(), member -> core.isLeaving(member.replica()));
+        rules,
+        core.members(),
+        core.self(),
+        member -> core.hasDepartedAfter(earliest, member.replica()));
   }
 
   private boolean mayChangeMembers() {
--- a/core/src/main/java/org/verbenawheel/replication/Replica.java
+++ b/core/src/main/java/org/verbenawheel/replication/Replica.java
@@ -167,7 +167,7 @@
     }
     if (message instanceof Departure) {
       // A leader hands over before it leaves, so its successor may be in the next term already.
-      onDeparture(from);
+      onDeparture(now, from);
       return;
     }
     core.bindToCluster(message.header().cluster());
@@ -177,9 +177,9 @@
     onCurrentOrOlderTerm(now, from, message);
   }
 
-  private void onDeparture(Member from) {
+  private void onDeparture(Instant now, Member from) {
     if (isMember(from)) {
-      core.onDeparture(from.replica());
+      core.onDeparture(now, from.replica());
     }
   }
 
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaCore.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaCore.java
@@ -4,10 +4,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.verbenawheel.identity.ProcessId;
 import org.verbenawheel.replication.ReplicationMessage.Header;
@@ -30,7 +30,7 @@
   private Instant lastLeaderContact;
   private Optional<Instant> lastGrantedVote = Optional.empty();
   private Instant electionDeadline;
-  private final Set<ReplicaId> leaving = new HashSet<>();
+  private final Map<ReplicaId, Instant> departures = new HashMap<>();
 
   ReplicaCore(
       Member self,
@@ -93,19 +93,20 @@
   }
 
   /** Records that a member announced that its process is being stopped. */
-  void onDeparture(ReplicaId replica) {
-    leaving.retainAll(members().all().stream().map(Member::replica).toList());
-    leaving.add(replica);
+  void onDeparture(Instant now, ReplicaId replica) {
+    departures.keySet().retainAll(members().all().stream().map(Member::replica).toList());
+    departures.put(replica, now);
   }
 
   /** Records that a replica replied, so it is back if it had left. */
   void onReplyFrom(ReplicaId replica) {
-    leaving.remove(replica);
+    departures.remove(replica);
   }
 
-  /** Returns whether a member announced that it leaves and has not replied since. */
-  boolean isLeaving(ReplicaId replica) {
-    return leaving.contains(replica);
+  /** Returns whether a member announced after a moment that it leaves and has not replied since. */
+  boolean hasDepartedAfter(Instant moment, ReplicaId replica) {
+    Instant announcedAt = departures.get(replica);
+    return announcedAt != null && announcedAt.isAfter(moment);
   }
 
   /** Returns the members other than this replica. */
--- a/core/src/test/java/org/verbenawheel/replication/ReplacedVoterTest.java
+++ b/core/src/test/java/org/verbenawheel/replication/ReplacedVoterTest.java
@@ -172,19 +172,7 @@
   @Test
   void voterThatRepliesAfterItsLeavingKeepsItsPlace() {
     Member restarted = members().voterOf(follower(0)).orElseThrow();
-    replicas.run(
-        leader,
-        replicas
-            .replica(leader)
-            .onMessage(
-                replicas.now(),
-                restarted.process(),
-                new ReplicationMessage.Departure(
-                    new ReplicationMessage.Header(
-                        members().cluster(),
-                        restarted.replica(),
-                        replicas.replica(leader).status().replica(),
-                        replicas.replica(leader).status().term()))));
+    announceLeaving(restarted, leader);
     replicas.advance(SHORT_TIME);
 
     replicas.join(SIXTH, leader);
@@ -194,6 +182,37 @@
     assertThat(isVoter(SIXTH)).isFalse();
   }
 
+  // Only the leader hears replies, so a later leader may not know that a voter is back.
+  @Test
+  void laterLeaderForgetsALeavingOfLongAgo() {
+    Member restarted = members().voterOf(follower(0)).orElseThrow();
+    ProcessId successor = follower(1);
+    announceLeaving(restarted, successor);
+    replicas.advance(SETTLE_TIME);
+    replicas.cutOff(leader);
+    leader = replicas.awaitLeader();
+    replicas.join(SIXTH, leader);
+    replicas.advance(SHORT_TIME);
+
+    assertThat(isVoter(restarted.process())).isTrue();
+  }
+
+  private void announceLeaving(Member member, ProcessId listener) {
+    replicas.run(
+        listener,
+        replicas
+            .replica(listener)
+            .onMessage(
+                replicas.now(),
+                member.process(),
+                new ReplicationMessage.Departure(
+                    new ReplicationMessage.Header(
+                        members().cluster(),
+                        member.replica(),
+                        replicas.replica(listener).status().replica(),
+                        replicas.replica(listener).status().term()))));
+  }
+
   private void leave(ProcessId process) {
     replicas.run(process, replicas.replica(process).depart(replicas.now()));
     replicas.deliverAll();
