Review: judge case 9 only while the core is stable, and cut the runner off from the start

Cause: starts within three seconds of the restart of the killed process would not count, and the runner could still reach the process that it is cut off from for a second.

Change: both in the stand-in of case 9.

--- a/review/standin-2/src/review/LateReport.java
+++ b/review/standin-2/src/review/LateReport.java
@@ -15,6 +15,7 @@
   private static final int LEAVING = 7;
   private static final long CUT_MS = 5_000;
   private static final long DRAIN_MS = 2_000;
+  private static final long CONTACT_MS = 3_000;
   private static final long RESTART_MS = 300;
   private final List<Runner> runners = new ArrayList<>();
   private volatile boolean over;
@@ -65,6 +66,9 @@
     long cutAt = record.now();
     record.line(
         "%s is cut off from control-%d, which holds up this report: %s", leaving.id, cutOff, held);
+    if (trouble) {
+      leaving.cutFrom(deployment.controlAddress(cutOff));
+    }
     Deployment.pause(1_000);
     leaving.setState("draining");
     boolean acknowledged = leaving.sendReport(deployment.controlAddress(leader));
@@ -74,12 +78,13 @@
       return Outcome.NOT_JUDGED;
     }
     int newLeader = leader;
+    long stableAt = 0;
     if (trouble) {
-      leaving.cutFrom(deployment.controlAddress(cutOff));
       leaving.setReachable(false);
       deployment.killControl(leader);
       Deployment.pause(RESTART_MS);
       deployment.startControl(leader, false);
+      stableAt = record.now() + CONTACT_MS;
       newLeader = deployment.awaitLeader(5_000);
       record.line("control-%d leads", newLeader);
       if (newLeader != cutOff) {
@@ -109,7 +114,7 @@
     boolean broken = false;
     for (Runner.Start start : leaving.starts()) {
       boolean late = start.at() > acknowledgedAt + DRAIN_MS;
-      if (late && start.at() > healedAt - 10) {
+      if (late && start.at() > healedAt - 10 && start.at() > stableAt) {
         broken = true;
         record.line(
             "DRAIN: %s is given %s at %d, %d ms after its draining was acknowledged",
