--- a/review/standin-2/src/review/Deployment.java
+++ b/review/standin-2/src/review/Deployment.java
@@ -26,6 +26,8 @@
  */
 final class Deployment implements AutoCloseable {
   static final int CONTROLS = 3;
+  static final int ENTRIES = 2;
+  private static final int FIRST_ENTRY_HOST = 50;
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
   private static final Duration CLIENT_TIMEOUT = Duration.ofSeconds(3);
   private static final int CLIENT_ATTEMPTS = 5;
@@ -61,7 +63,9 @@
     for (int number = 1; number <= CONTROLS; number++) {
       startControl(number, true);
     }
-    start("entry", entrySettings());
+    for (int number = 1; number <= ENTRIES; number++) {
+      start("entry-" + number, entrySettings(number));
+    }
   }
 
   private static List<Integer> freePorts(int count) throws IOException {
@@ -124,8 +128,12 @@
             + "\n");
   }
 
-  private String entrySettings() {
-    String ip = network + "50";
+  private String entryIp(int number) {
+    return network + (FIRST_ENTRY_HOST + number);
+  }
+
+  private String entrySettings(int number) {
+    String ip = entryIp(number);
     return "role=entry\nmachine_class=frontend\nserves=frontend\nfault_counted=false\n"
         + common(ip, "z1", true)
         + "listen_addrs.frontend="
@@ -214,7 +222,7 @@
   private void start(String name, String settings) throws IOException {
     Path file = folder.resolve(name + ".conf");
     Files.writeString(file, settings);
-    String role = name.equals("entry") ? "entry" : "control";
+    String role = name.startsWith("entry") ? "entry" : "control";
     ProcessBuilder builder = new ProcessBuilder(commandOf(role).split(" "));
     builder.environment().put("VERBENAWHEEL_NODE_FILE", file.toString());
     builder
@@ -243,6 +251,13 @@
     processes.get("control-" + number).destroyForcibly().waitFor();
   }
 
+  /** Sends a signal, such as STOP or CONT, to an entry. */
+  void signalEntry(int number, String signal) throws IOException, InterruptedException {
+    record.line("SIG%s entry-%d", signal, number);
+    long pid = processes.get("entry-" + number).pid();
+    new ProcessBuilder("kill", "-" + signal, Long.toString(pid)).start().waitFor();
+  }
+
   boolean isControlAlive(int number) {
     return processes.get("control-" + number).isAlive();
   }
@@ -324,26 +339,37 @@
   }
 
   void awaitEntry() throws CannotRunException {
+    for (int number = 1; number <= ENTRIES; number++) {
+      awaitEntry(number);
+    }
+  }
+
+  private void awaitEntry(int number) throws CannotRunException {
+    String url = "http://" + entryIp(number) + ":" + readinessPort + "/readyz";
     for (int attempt = 0; attempt < 200; attempt++) {
-      Web.Answer answer =
-          Web.send(
-              client, "GET", "http://" + network + "50:" + readinessPort + "/readyz", "", "",
-              CALL_TIMEOUT);
-      if (answer.status() == 200) {
+      if (Web.send(client, "GET", url, "", "", CALL_TIMEOUT).status() == 200) {
         return;
       }
       pause(200);
     }
-    throw new CannotRunException("the entry did not get ready");
+    throw new CannotRunException("entry " + number + " did not get ready");
   }
 
-  /** Sends one request of a client. */
+  /** Sends one request of a client to the first entry. */
   Web.Answer request(String method, String host, String path, String body) {
+    return request(1, method, host, path, body, CLIENT_TIMEOUT);
+  }
+
+  /** Sends one request of a client, which leaves at the timeout. */
+  Web.Answer request(
+      int entry, String method, String host, String path, String body, Duration timeout) {
     Web.Answer answer =
         Web.send(
-            client, method, "http://" + network + "50:" + entryPort + path, host, body,
-            CLIENT_TIMEOUT);
-    record.line("client %s %s%s -> %d %s", method, host, path, answer.status(), answer.body());
+            client, method, "http://" + entryIp(entry) + ":" + entryPort + path, host, body,
+            timeout);
+    record.line(
+        "client %s %s%s at entry %d -> %d %s",
+        method, host, path, entry, answer.status(), answer.body());
     return answer;
   }
 
--- a/review/standin-2/src/review/Web.java
+++ b/review/standin-2/src/review/Web.java
@@ -28,6 +28,8 @@
     System.setProperty("sun.net.httpserver.nodelay", "true");
   }
 
+  private static final String DEADLINE_MS = "3000";
+
   private Web() {}
 
   /** The answer to a request; status 0 if there was none. */
@@ -91,7 +93,7 @@
     }
     if (!host.isEmpty()) {
       request.header("Host", host);
-      request.header("X-Deadline-Ms", Long.toString(timeout.toMillis()));
+      request.header("X-Deadline-Ms", DEADLINE_MS);
     }
     try {
       HttpResponse<String> response =
