--- a/review/standin-2/src/review/Case.java
+++ b/review/standin-2/src/review/Case.java
@@ -10,16 +10,19 @@
   static final int BROKEN = 1;
   static final int COULD_NOT_RUN = 2;
 
-  final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+  /** Whether the disruption happens. */
+  boolean trouble;
   Record record;
   Deployment deployment;
 
   /** Plays the case; returns whether the rule was broken. */
   abstract boolean play() throws Exception;
 
+  /** Runs a case; the arguments are its folder, and 0 to leave the disruption out. */
   static void run(Case played, String[] arguments) {
     int status = COULD_NOT_RUN;
     try (Record record = new Record(Path.of(arguments[0]))) {
+      played.trouble = !arguments[1].equals("0");
       played.record = record;
       record.line("trouble=%s", played.trouble);
       startWatchdog(record);
