--- a/command/src/test/java/org/verbenawheel/command/FakeControl.java
+++ b/command/src/test/java/org/verbenawheel/command/FakeControl.java
@@ -263,6 +263,7 @@
         1,
         1,
         0,
+        0,
         1,
         Optional.of(ClusterMembers.founding(new ClusterId("cluster-a"), ImmutableList.of(member))),
         Optional.of(1));
--- a/core/src/main/java/org/verbenawheel/replication/LogReplay.java
+++ b/core/src/main/java/org/verbenawheel/replication/LogReplay.java
@@ -6,11 +6,23 @@
 import java.util.TreeMap;
 import org.verbenawheel.storage.StorageException;
 
-/** Replays the records of the log files at startup to find the valid entries after a snapshot. */
+/**
+ * Replays the records of the log files at startup to find the valid entries after a snapshot.
+ *
+ * <p>Log files may hold more than the memory does. So entries beyond {@link
+ * #MAXIMUM_UNCOMPRESSED_BYTES} are kept compressed until they are compacted.
+ */
 final class LogReplay {
+  /** The length of the payloads that are kept as they are, in bytes. */
+  private static final long MAXIMUM_UNCOMPRESSED_BYTES = 16L * 1024 * 1024;
+
+  /** Compression saves little of a payload that is shorter than this, in bytes. */
+  private static final int MINIMUM_COMPRESSED_LENGTH = 512;
+
   private final SnapshotPoint snapshot;
   private final NavigableMap<Long, LogEntry> entries = new TreeMap<>();
   private long lastReset;
+  private long uncompressedBytes;
 
   LogReplay(SnapshotPoint snapshot) {
     this.snapshot = snapshot;
@@ -24,8 +36,18 @@
     }
     for (LogEntry entry : record.entries()) {
       entries.tailMap(entry.index(), true).clear();
-      entries.put(entry.index(), entry);
+      entries.put(entry.index(), kept(entry));
+    }
+  }
+
+  private LogEntry kept(LogEntry entry) {
+    if (entry.payload().length() < MINIMUM_COMPRESSED_LENGTH
+        || uncompressedBytes + entry.payload().length() <= MAXIMUM_UNCOMPRESSED_BYTES) {
+      uncompressedBytes += entry.payload().length();
+      return entry;
     }
+    return new LogEntry(
+        entry.index(), entry.term(), entry.stateTime(), entry.type(), entry.payload().compressed());
   }
 
   /**
--- a/core/src/main/java/org/verbenawheel/replication/Replica.java
+++ b/core/src/main/java/org/verbenawheel/replication/Replica.java
@@ -401,6 +401,7 @@
         core.durability().durableIndex(),
         core.log().lastIndex(),
         core.log().base().index(),
+        core.log().bytes(),
         core.log().lastMembersIndex(),
         core.log().members(),
         leading.map(Leadership::respondingVoters));
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaLog.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaLog.java
@@ -21,6 +21,7 @@
   private final NavigableMap<Long, ClusterMembers> membersByIndex = new TreeMap<>();
   private SnapshotPoint base;
   private List<LogEntry> entries = new ArrayList<>();
+  private long bytes;
 
   ReplicaLog(SnapshotPoint base) {
     this.base = base;
@@ -31,6 +32,11 @@
     return base;
   }
 
+  /** Returns the memory that the payloads of the entries take, in bytes. */
+  long bytes() {
+    return bytes;
+  }
+
   /** Returns the index of the last entry; that of the snapshot if there is none. */
   long lastIndex() {
     return base.index() + entries.size();
@@ -93,6 +99,7 @@
         entry.index(),
         lastIndex());
     entries.add(entry);
+    bytes += entry.payload().storedLength();
     if (entry.type() == EntryType.MEMBERS) {
       membersByIndex.put(entry.index(), ReplicationMessages.membersOf(entry));
     }
@@ -100,7 +107,9 @@
 
   /** Removes the entry with the index and all after it. */
   void truncateFrom(long index) {
-    entries.subList(positionOf(index), entries.size()).clear();
+    List<LogEntry> removed = entries.subList(positionOf(index), entries.size());
+    bytes -= bytesOf(removed);
+    removed.clear();
     membersByIndex.tailMap(index, true).clear();
   }
 
@@ -139,6 +148,7 @@
     LogEntry last = entryAt(index).orElseThrow();
     SnapshotPoint next = new SnapshotPoint(index, last.term(), last.stateTime(), membersAt(index));
     entries = new ArrayList<>(entries.subList(positionOf(index + 1), entries.size()));
+    bytes = bytesOf(entries);
     membersByIndex.headMap(index, true).clear();
     base = next;
   }
@@ -146,10 +156,15 @@
   /** Drops all entries and continues from a snapshot. */
   void resetTo(SnapshotPoint point) {
     entries = new ArrayList<>();
+    bytes = 0;
     membersByIndex.clear();
     base = point;
   }
 
+  private static long bytesOf(List<LogEntry> entries) {
+    return entries.stream().mapToLong(entry -> entry.payload().storedLength()).sum();
+  }
+
   private int positionOf(long index) {
     return Math.toIntExact(index - base.index() - 1);
   }
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaProcess.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaProcess.java
@@ -161,6 +161,11 @@
     return Optional.ofNullable(running()).map(RunningReplica::status);
   }
 
+  /** Returns the length of the log files in bytes; empty while the replica is not started. */
+  public Optional<Long> logFileBytes() {
+    return Optional.ofNullable(running()).map(RunningReplica::logFileBytes);
+  }
+
   /**
    * Returns whether this replica leads and its leader lease has not expired. Only then may
    * controllers on this process make decisions for the whole system.
@@ -230,6 +235,10 @@
   public static final class Builder {
     private static final Duration DEFAULT_COMMAND_TIMEOUT = Duration.ofSeconds(5);
     private static final int DEFAULT_SNAPSHOT_INTERVAL_ENTRIES = 20_000;
+
+    /** The length of the log up to which its entries, on disk and in memory, need no care. */
+    private static final long DEFAULT_MAXIMUM_LOG_BYTES = 64L * 1024 * 1024;
+
     private static final int DEFAULT_MAXIMUM_VOTERS = 9;
 
     /** Several elections long, yet short enough that a replaced host is soon among the voters. */
@@ -244,6 +253,7 @@
     private ReplicationTimings timings = ReplicationTimings.DEFAULT;
     private Duration commandTimeout = DEFAULT_COMMAND_TIMEOUT;
     private int snapshotInterval = DEFAULT_SNAPSHOT_INTERVAL_ENTRIES;
+    private long maximumLogBytes = DEFAULT_MAXIMUM_LOG_BYTES;
     private boolean groupCommit = true;
     private Consumer<ReplicaStatus> statusListener = status -> {};
     private @Nullable PeerLinks links;
@@ -326,6 +336,15 @@
       return this;
     }
 
+    /**
+     * Sets the length of the entries, in bytes, at which a snapshot is taken before the {@link
+     * #snapshotInterval} has passed. The replica needs several times as much memory and disk.
+     */
+    public Builder maximumLogBytes(long value) {
+      maximumLogBytes = value;
+      return this;
+    }
+
     /** Sets whether one sync may cover many commands; turned off only to measure its benefit. */
     public Builder groupCommit(boolean value) {
       groupCommit = value;
@@ -354,7 +373,7 @@
           new ClusterRules(initialVoters, mayFound, maximumVoters, UNRESPONSIVE_TIMEOUT),
           timings,
           commandTimeout,
-          snapshotInterval,
+          new SnapshotPolicy(snapshotInterval, maximumLogBytes),
           groupCommit);
     }
 
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaSettings.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaSettings.java
@@ -10,7 +10,7 @@
  * @param rules how the cluster is founded and changes its members
  * @param timings the timings that all replicas share
  * @param commandTimeout how long a command may wait for its commit before it fails
- * @param snapshotInterval the number of entries applied between two snapshots
+ * @param snapshotPolicy decides when a snapshot is due
  * @param groupCommit whether one sync may cover many commands
  */
 record ReplicaSettings(
@@ -18,5 +18,5 @@
     ClusterRules rules,
     ReplicationTimings timings,
     Duration commandTimeout,
-    int snapshotInterval,
+    SnapshotPolicy snapshotPolicy,
     boolean groupCommit) {}
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaStatus.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaStatus.java
@@ -17,6 +17,7 @@
  * @param durableIndex the index of the last entry on its disk
  * @param lastIndex the index of its last entry
  * @param snapshotIndex the index of the last entry that is only in its snapshot
+ * @param logBytes the memory that the entries after the snapshot take, in bytes
  * @param membersIndex the index of the entry that defines the members in force; they are final once
  *     it is committed
  * @param members the members of the cluster; empty before this replica joined one
@@ -34,6 +35,7 @@
     long durableIndex,
     long lastIndex,
     long snapshotIndex,
+    long logBytes,
     long membersIndex,
     Optional<ClusterMembers> members,
     Optional<Integer> respondingVoters) {
@@ -56,6 +58,11 @@
         responding -> members.map(current -> Math.max(0, responding - current.quorum())));
   }
 
+  /** Returns the number of entries after the snapshot. */
+  public long logEntries() {
+    return lastIndex - snapshotIndex;
+  }
+
   /** Returns whether this replica votes, learns, or is no member as far as it knows. */
   public Membership membership() {
     return members.map(current -> current.membershipOf(replica)).orElse(Membership.NONE);
--- a/core/src/main/java/org/verbenawheel/replication/ReplicaStore.java
+++ b/core/src/main/java/org/verbenawheel/replication/ReplicaStore.java
@@ -39,8 +39,9 @@
     this.identity = readOrCreateIdentity();
     HardState hardState = readHardState();
     loadNewestSnapshot();
-    this.log = new SegmentedLog(folder);
-    this.recovered = new RecoveredState(hardState, snapshot, replay());
+    LogReplay replay = new LogReplay(snapshot);
+    this.log = new SegmentedLog(folder, record -> replay.add(decode(record)));
+    this.recovered = new RecoveredState(hardState, snapshot, replay.entries());
     checkHardStateExists();
   }
 
@@ -116,17 +117,13 @@
         .collect(ImmutableList.toImmutableList());
   }
 
-  private ImmutableList<LogEntry> replay() throws StorageException {
-    LogReplay replay = new LogReplay(snapshot);
-    for (byte[] record : log.recovered()) {
-      try {
-        replay.add(EntryEncoding.decode(record));
-      } catch (MalformedMessageException malformed) {
-        throw new StorageException(
-            "the log holds a record that this version cannot decode: " + malformed, malformed);
-      }
+  private static LogRecord decode(byte[] record) throws StorageException {
+    try {
+      return EntryEncoding.decode(record);
+    } catch (MalformedMessageException malformed) {
+      throw new StorageException(
+          "the log holds a record that this version cannot decode: " + malformed, malformed);
     }
-    return replay.entries();
   }
 
   private void checkHardStateExists() throws StorageException {
@@ -232,6 +229,11 @@
     compact(install.point().index());
   }
 
+  /** Returns the length of the log files in bytes. */
+  long logLength() {
+    return log.length();
+  }
+
   /** Deletes the log files that hold only entries up to an index. */
   void compact(long index) throws StorageException {
     log.dropThrough(index);
--- a/core/src/main/java/org/verbenawheel/replication/RunningReplica.java
+++ b/core/src/main/java/org/verbenawheel/replication/RunningReplica.java
@@ -93,7 +93,7 @@
         new StorageThread(store, settings.groupCommit(), this::onSynced, failureListener);
     this.state =
         new StateThread(
-            machine, pending, settings.snapshotInterval(), this::onSnapshot, failureListener);
+            machine, pending, settings.snapshotPolicy(), this::onSnapshot, failureListener);
     this.effectRunner =
         new EffectRunner(
             links,
@@ -160,6 +160,7 @@
               EventLine.of(Event.SNAPSHOT_WRITTEN)
                   .with("index", point.index())
                   .with("bytes", snapshot.length));
+          state.onSnapshotWritten();
           tryExecute(() -> effectRunner.run(replica.onSnapshotWritten(point.index())));
         });
   }
@@ -235,6 +236,11 @@
     return state.appliedIndex();
   }
 
+  /** Returns the length of the log files in bytes. */
+  long logFileBytes() {
+    return storage.logFileBytes();
+  }
+
   /** Returns the number of commands without a reply. */
   int pendingCommands() {
     return proposals.unanswered();
--- a/core/src/main/java/org/verbenawheel/replication/StateThread.java
+++ b/core/src/main/java/org/verbenawheel/replication/StateThread.java
@@ -18,29 +18,33 @@
 
   private final StateMachine machine;
   private final PendingCommands pending;
-  private final int snapshotInterval;
+  private final SnapshotPolicy snapshotPolicy;
   private final BiConsumer<SnapshotPoint, byte[]> snapshotListener;
   private final Consumer<Throwable> failureListener;
   private final ExecutorService executor;
   private long lastSnapshotIndex;
+  private long lastSnapshotBytes;
+  private long appliedBytes;
+  private boolean snapshotBeingWritten;
   private volatile long appliedIndex;
 
   /**
    * Creates the thread.
    *
-   * @param snapshotInterval the number of entries applied between two snapshots
-   * @param snapshotListener called on this thread with each new snapshot
+   * @param snapshotPolicy decides when a snapshot is due
+   * @param snapshotListener called on this thread with each new snapshot; {@link
+   *     #onSnapshotWritten} must be called once it is on disk
    * @param failureListener called with each error that keeps this thread from continuing
    */
   StateThread(
       StateMachine machine,
       PendingCommands pending,
-      int snapshotInterval,
+      SnapshotPolicy snapshotPolicy,
       BiConsumer<SnapshotPoint, byte[]> snapshotListener,
       Consumer<Throwable> failureListener) {
     this.machine = machine;
     this.pending = pending;
-    this.snapshotInterval = snapshotInterval;
+    this.snapshotPolicy = snapshotPolicy;
     this.snapshotListener = snapshotListener;
     this.failureListener = failureListener;
     this.executor = Threads.singleThreadExecutor("replica-state");
@@ -62,6 +66,7 @@
     for (LogEntry entry : effect.entries()) {
       Optional<CommandReply> reply = machine.apply(entry);
       appliedIndex = entry.index();
+      appliedBytes += entry.payload().length();
       if (reply.isPresent()) {
         pending.onApplied(entry, reply.get());
       } else {
@@ -70,8 +75,8 @@
       if (entry.type() == EntryType.MEMBERS) {
         logMembers(entry);
       }
+      takeSnapshotIfDue();
     }
-    takeSnapshotIfDue();
   }
 
   private static void logMembers(LogEntry entry) {
@@ -84,12 +89,34 @@
             .with("learners", members.learners()));
   }
 
+  /**
+   * Takes a snapshot if one is due and the previous one is on disk: a slow disk must not fill the
+   * memory with snapshots.
+   */
   private void takeSnapshotIfDue() {
-    if (machine.applied().index() - lastSnapshotIndex < snapshotInterval) {
+    long entries = machine.applied().index() - lastSnapshotIndex;
+    if (snapshotBeingWritten || !snapshotPolicy.isDue(entries, appliedBytes, lastSnapshotBytes)) {
       return;
     }
-    lastSnapshotIndex = machine.applied().index();
-    snapshotListener.accept(machine.applied(), machine.snapshot());
+    byte[] snapshot = machine.snapshot();
+    snapshotBeingWritten = true;
+    onSnapshot(machine.applied().index(), snapshot.length);
+    snapshotListener.accept(machine.applied(), snapshot);
+  }
+
+  private void onSnapshot(long index, long bytes) {
+    lastSnapshotIndex = index;
+    lastSnapshotBytes = bytes;
+    appliedBytes = 0;
+  }
+
+  /** Allows the next snapshot, since the last one is on disk. */
+  void onSnapshotWritten() {
+    execute(
+        () -> {
+          snapshotBeingWritten = false;
+          takeSnapshotIfDue();
+        });
   }
 
   /** Queues a snapshot from the leader to replace the state. */
@@ -104,7 +131,7 @@
       failureListener.accept(unreadable);
       return;
     }
-    lastSnapshotIndex = effect.point().index();
+    onSnapshot(effect.point().index(), effect.state().length());
     appliedIndex = lastSnapshotIndex;
     pending.onSnapshotInstalled(lastSnapshotIndex);
     logger.atInfo().log(
--- a/core/src/main/java/org/verbenawheel/replication/StorageThread.java
+++ b/core/src/main/java/org/verbenawheel/replication/StorageThread.java
@@ -14,12 +14,16 @@
  * sync are written as one record and covered by the next sync.
  */
 final class StorageThread {
+  /** Entries beyond this length are not added to a record, which is copied while it is written. */
+  private static final long MAXIMUM_RECORD_BYTES = 4L * 1024 * 1024;
+
   private final ReplicaStore store;
   private final boolean groupCommit;
   private final LongConsumer syncListener;
   private final Consumer<Throwable> failureListener;
   private final BlockingQueue<Task> tasks = new LinkedBlockingQueue<>();
   private final Thread thread;
+  private volatile long logFileBytes;
   private volatile boolean stopping;
 
   /**
@@ -38,6 +42,7 @@
     this.groupCommit = groupCommit;
     this.syncListener = syncListener;
     this.failureListener = failureListener;
+    this.logFileBytes = store.logLength();
     this.thread = new Thread(this::run, "replica-storage");
     this.thread.setDaemon(true);
   }
@@ -46,6 +51,11 @@
     thread.start();
   }
 
+  /** Returns the length of the log files in bytes, as of the last writes. */
+  long logFileBytes() {
+    return logFileBytes;
+  }
+
   /** Queues a write after the earlier ones. */
   void write(Effect.Durable effect) {
     tasks.add(new Task.Write(effect));
@@ -60,6 +70,7 @@
     try {
       while (!stopping || !tasks.isEmpty()) {
         perform(nextTasks());
+        logFileBytes = store.logLength();
       }
     } catch (InterruptedException interrupted) {
       Thread.currentThread().interrupt();
@@ -79,16 +90,25 @@
 
   private void perform(List<Task> batch) throws StorageException {
     ImmutableList.Builder<LogEntry> pendingEntries = ImmutableList.builder();
+    long pendingBytes = 0;
     long lastSequence = 0;
     for (Task task : batch) {
       if (task instanceof Task.Write write
           && write.effect() instanceof Effect.PersistEntries persist) {
+        if (pendingBytes >= MAXIMUM_RECORD_BYTES) {
+          syncEntries(pendingEntries.build(), lastSequence);
+          pendingEntries = ImmutableList.builder();
+          pendingBytes = 0;
+        }
         pendingEntries.addAll(persist.entries());
+        pendingBytes +=
+            persist.entries().stream().mapToLong(entry -> entry.payload().length()).sum();
         lastSequence = persist.sequence();
         continue;
       }
       syncEntries(pendingEntries.build(), lastSequence);
       pendingEntries = ImmutableList.builder();
+      pendingBytes = 0;
       if (task instanceof Task.Write write) {
         writeUnbatched(write.effect());
       } else if (task instanceof Task.Run run) {
--- a/core/src/main/java/org/verbenawheel/storage/FramedFile.java
+++ b/core/src/main/java/org/verbenawheel/storage/FramedFile.java
@@ -31,7 +31,9 @@
   public static ImmutableList<byte[]> read(DataFolder folder, String name, int expectedRecords)
       throws StorageException {
     byte[] contents = folder.read(name);
-    ImmutableList<byte[]> records = Frames.readWhole(name, contents);
+    ImmutableList.Builder<byte[]> read = ImmutableList.builder();
+    Frames.readWhole(name, contents, read::add);
+    ImmutableList<byte[]> records = read.build();
     if (records.size() != expectedRecords) {
       throw new DamagedFileException(
           name, contents.length, records.size() + " records instead of " + expectedRecords);
--- a/core/src/main/java/org/verbenawheel/storage/Frames.java
+++ b/core/src/main/java/org/verbenawheel/storage/Frames.java
@@ -1,6 +1,5 @@
 package org.verbenawheel.storage;
 
-import com.google.common.collect.ImmutableList;
 import java.nio.ByteBuffer;
 import java.util.zip.CRC32C;
 
@@ -30,24 +29,28 @@
   /**
    * Reads the records of a file that was synced completely.
    *
+   * @param records receives each record
    * @throws DamagedFileException if any byte is wrong or missing
    */
-  static ImmutableList<byte[]> readWhole(String file, byte[] contents) throws DamagedFileException {
-    Scan scan = readUpToTornTail(file, contents);
-    if (scan.validLength() < contents.length) {
-      throw new DamagedFileException(file, scan.validLength(), "the last record is truncated");
+  static void readWhole(String file, byte[] contents, RecordConsumer records)
+      throws StorageException {
+    int validLength = readUpToTornTail(file, contents, records);
+    if (validLength < contents.length) {
+      throw new DamagedFileException(file, validLength, "the last record is truncated");
     }
-    return scan.records();
   }
 
   /**
    * Reads the records of a file whose tail may not have been synced. A crash leaves such a tail as
    * a frame shorter than its length field, or as zeros; anything else is damage.
    *
+   * @param records receives each complete record
+   * @return the bytes up to the end of the last complete record; any later bytes are a torn write
+   *     that was never synced
    * @throws DamagedFileException if a crash cannot explain a wrong byte
    */
-  static Scan readUpToTornTail(String file, byte[] contents) throws DamagedFileException {
-    ImmutableList.Builder<byte[]> records = ImmutableList.builder();
+  static int readUpToTornTail(String file, byte[] contents, RecordConsumer records)
+      throws StorageException {
     int offset = 0;
     while (offset < contents.length && !isTorn(file, contents, offset)) {
       ByteBuffer header = ByteBuffer.wrap(contents, offset, HEADER_LENGTH);
@@ -57,10 +60,10 @@
       if (checksum(record, 0, record.length) != expectedChecksum) {
         throw new DamagedFileException(file, offset, "the checksum of a record is wrong");
       }
-      records.add(record);
+      records.accept(record);
       offset += HEADER_LENGTH + record.length;
     }
-    return new Scan(records.build(), offset);
+    return offset;
   }
 
   private static boolean isTorn(String file, byte[] contents, int offset)
@@ -92,13 +95,4 @@
     checksum.update(bytes, offset, length);
     return (int) checksum.getValue();
   }
-
-  /**
-   * The result of reading a file.
-   *
-   * @param records the complete records
-   * @param validLength the bytes up to the end of the last complete record; any later bytes are a
-   *     torn write that was never synced
-   */
-  record Scan(ImmutableList<byte[]> records, int validLength) {}
 }
--- a/core/src/main/java/org/verbenawheel/storage/SegmentedLog.java
+++ b/core/src/main/java/org/verbenawheel/storage/SegmentedLog.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * An append-only log of records in segment files. A new segment starts once the last one reaches 8
@@ -21,53 +22,55 @@
 
   private final DataFolder folder;
   private final NavigableMap<Long, Long> highestKeyBySegment = new TreeMap<>();
-  private final ImmutableList<byte[]> recovered;
+  private final NavigableMap<Long, Long> earlierSegmentBytes = new TreeMap<>();
   private AppendFile lastSegment;
 
   /**
-   * Opens the log, reads all records, and cuts off a torn tail of the last segment.
+   * Opens the log, reads all records one segment at a time, and cuts off a torn tail of the last
+   * segment.
    *
    * @param folder the folder of the segment files; may hold other files
+   * @param recovered receives the records in order
    * @throws DamagedFileException if the content of a file differs from what was synced
    * @throws StorageException if a file cannot be read or written
    */
-  public SegmentedLog(DataFolder folder) throws StorageException {
+  public SegmentedLog(DataFolder folder, RecordConsumer recovered) throws StorageException {
     this.folder = folder;
-    ImmutableList.Builder<byte[]> records = ImmutableList.builder();
     ImmutableList<String> names =
         folder.list().stream()
             .filter(name -> name.startsWith(PREFIX))
             .collect(ImmutableList.toImmutableList());
     for (int position = 0; position < names.size(); position++) {
-      records.addAll(readSegment(names.get(position), position == names.size() - 1));
+      readSegment(names.get(position), position == names.size() - 1, recovered);
     }
-    this.recovered = records.build();
     if (names.isEmpty()) {
       startSegment(1);
     }
     this.lastSegment = folder.openToAppend(segmentName(highestKeyBySegment.lastKey()));
   }
 
-  private ImmutableList<byte[]> readSegment(String name, boolean isLast) throws StorageException {
+  private void readSegment(String name, boolean isLast, RecordConsumer recovered)
+      throws StorageException {
     byte[] contents = folder.read(name);
-    Frames.Scan scan =
-        isLast
-            ? Frames.readUpToTornTail(name, contents)
-            : new Frames.Scan(Frames.readWhole(name, contents), contents.length);
+    AtomicLong highestKey = new AtomicLong();
+    RecordConsumer keyedRecords =
+        keyedRecord -> {
+          long key = ByteBuffer.wrap(keyedRecord).getLong();
+          highestKey.accumulateAndGet(key, Math::max);
+          recovered.accept(Arrays.copyOfRange(keyedRecord, Long.BYTES, keyedRecord.length));
+        };
     if (isLast) {
+      int validLength = Frames.readUpToTornTail(name, contents, keyedRecords);
       // After a failed sync the page cache may hold bytes that the disk does not, and a second
       // sync would not write them. So the valid part is rewritten before it is trusted.
-      folder.replace(name, Arrays.copyOf(contents, scan.validLength()));
+      folder.replace(
+          name, validLength == contents.length ? contents : Arrays.copyOf(contents, validLength));
+    } else {
+      Frames.readWhole(name, contents, keyedRecords);
     }
-    long highestKey = 0;
-    ImmutableList.Builder<byte[]> records = ImmutableList.builder();
-    for (byte[] keyedRecord : scan.records()) {
-      ByteBuffer record = ByteBuffer.wrap(keyedRecord);
-      highestKey = Math.max(highestKey, record.getLong());
-      records.add(Arrays.copyOfRange(keyedRecord, Long.BYTES, keyedRecord.length));
-    }
-    highestKeyBySegment.put(Long.parseLong(name.substring(PREFIX.length())), highestKey);
-    return records.build();
+    long number = Long.parseLong(name.substring(PREFIX.length()));
+    highestKeyBySegment.put(number, highestKey.get());
+    earlierSegmentBytes.put(number, (long) contents.length);
   }
 
   private void startSegment(long number) throws StorageException {
@@ -79,11 +82,6 @@
     return String.format(NAME_FORMAT, number);
   }
 
-  /** Returns the records that were read when the log was opened, in order. */
-  public ImmutableList<byte[]> recovered() {
-    return recovered;
-  }
-
   /**
    * Appends a record. It is durable only after {@link #sync}.
    *
@@ -102,6 +100,7 @@
   }
 
   private void startNextSegment() throws StorageException {
+    earlierSegmentBytes.put(highestKeyBySegment.lastKey(), lastSegment.length());
     lastSegment.sync();
     lastSegment.close();
     startSegment(highestKeyBySegment.lastKey() + 1);
@@ -127,9 +126,18 @@
       Map.Entry<Long, Long> first = highestKeyBySegment.firstEntry();
       folder.delete(segmentName(first.getKey()));
       highestKeyBySegment.remove(first.getKey());
+      earlierSegmentBytes.remove(first.getKey());
     }
   }
 
+  /** Returns the length of all segments in bytes. */
+  public long length() {
+    return lastSegment.length()
+        + earlierSegmentBytes.headMap(highestKeyBySegment.lastKey()).values().stream()
+            .mapToLong(Long::longValue)
+            .sum();
+  }
+
   /** Returns the length of the newest segment in bytes. */
   public long lastSegmentLength() {
     return lastSegment.length();
--- a/core/src/test/java/org/verbenawheel/storage/SegmentedLogTest.java
+++ b/core/src/test/java/org/verbenawheel/storage/SegmentedLogTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
@@ -46,8 +47,7 @@
     int length = folder.read(SEGMENT).length;
     for (int offset = 0; offset < length; offset++) {
       folder.flipBit(SEGMENT, offset);
-      DamagedFileException damaged =
-          assertThrows(DamagedFileException.class, () -> new SegmentedLog(folder));
+      DamagedFileException damaged = assertThrows(DamagedFileException.class, () -> open(folder));
       assertThat(damaged.file()).isEqualTo(SEGMENT);
       assertThat(damaged.offset()).isAtMost((long) offset);
       assertThat(damaged).hasMessageThat().contains("start the process on an empty one");
@@ -59,12 +59,12 @@
   void losesOnlyUnsyncedRecordsInACrash() throws StorageException {
     for (long seed = 0; seed < 100; seed++) {
       FakeFolder crashing = new FakeFolder();
-      SegmentedLog log = new SegmentedLog(crashing);
+      SegmentedLog log = open(crashing);
       append(log, 1, "synced");
       log.sync();
       append(log, 2, "unsynced");
       crashing.crash(new Random(seed));
-      List<String> recovered = texts(new SegmentedLog(crashing));
+      List<String> recovered = recoveredFrom(crashing);
       assertThat(recovered.get(0)).isEqualTo("synced");
       assertThat(recovered.size()).isAtMost(2);
     }
@@ -72,22 +72,22 @@
 
   @Test
   void deletesSegmentsWithoutNeededRecords() throws StorageException {
-    SegmentedLog log = new SegmentedLog(folder);
+    SegmentedLog log = open(folder);
     append(log, 1, "one");
     append(log, 2, "two");
     log.sync();
     log.dropThrough(1);
-    assertThat(texts(new SegmentedLog(folder))).containsExactly("one", "two").inOrder();
+    assertThat(recovered()).containsExactly("one", "two").inOrder();
     log.dropThrough(2);
     append(log, 3, "three");
     log.sync();
-    assertThat(texts(new SegmentedLog(folder))).containsExactly("three");
+    assertThat(recovered()).containsExactly("three");
     assertThat(folder.list()).hasSize(1);
   }
 
   @Test
   void startsANewSegmentWhenTheLastIsFull() throws StorageException {
-    SegmentedLog log = new SegmentedLog(folder);
+    SegmentedLog log = open(folder);
     byte[] large = new byte[5 * 1024 * 1024];
     Arrays.fill(large, (byte) 1);
     for (int key = 1; key <= 4; key++) {
@@ -95,22 +95,22 @@
       log.sync();
     }
     assertThat(log.segmentCount()).isEqualTo(2);
-    assertThat(new SegmentedLog(folder).recovered()).hasSize(4);
+    assertThat(recovered()).hasSize(4);
   }
 
   @Test
   void refusesATruncatedSegmentThatIsNotTheLast() throws StorageException {
-    SegmentedLog log = new SegmentedLog(folder);
+    SegmentedLog log = open(folder);
     log.append(1, new byte[9 * 1024 * 1024]);
     append(log, 2, "two");
     log.sync();
     folder.truncate(SEGMENT, folder.read(SEGMENT).length - 1);
-    assertThrows(DamagedFileException.class, () -> new SegmentedLog(folder));
+    assertThrows(DamagedFileException.class, () -> open(folder));
   }
 
   @Test
   void reportsAFullDisk() throws StorageException {
-    SegmentedLog log = new SegmentedLog(folder);
+    SegmentedLog log = open(folder);
     folder.limitFreeBytes(30);
     append(log, 1, "one");
     StorageException failure =
@@ -121,7 +121,7 @@
   }
 
   private void write(String... records) throws StorageException {
-    SegmentedLog log = new SegmentedLog(folder);
+    SegmentedLog log = open(folder);
     for (String record : records) {
       append(log, 1, record);
     }
@@ -133,12 +133,18 @@
   }
 
   private List<String> recovered() throws StorageException {
-    return texts(new SegmentedLog(folder));
+    return recoveredFrom(folder);
+  }
+
+  private static SegmentedLog open(DataFolder folder) throws StorageException {
+    return new SegmentedLog(folder, record -> {});
   }
 
-  private static List<String> texts(SegmentedLog log) {
-    return log.recovered().stream()
-        .map(record -> new String(record, StandardCharsets.UTF_8))
-        .toList();
+  private static List<String> recoveredFrom(DataFolder folder) throws StorageException {
+    List<String> texts = new ArrayList<>();
+    SegmentedLog log =
+        new SegmentedLog(folder, record -> texts.add(new String(record, StandardCharsets.UTF_8)));
+    log.close();
+    return texts;
   }
 }
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -64,6 +64,13 @@
   private static final Duration COMMAND_TIMEOUT = Duration.ofSeconds(3);
   private static final int SNAPSHOT_EVERY_ENTRIES = 2_000;
 
+  /**
+   * The share of the heap, and of the disk, that the log may take before a snapshot is due. Entries
+   * are copied while they are sent, written and applied, and the disk also holds old segments and
+   * two snapshots.
+   */
+  private static final int LOG_SHARE = 16;
+
   /** The value of a gauge that only the leader, or only a member, can tell. */
   private static final int UNKNOWN = -1;
 
@@ -124,6 +131,7 @@
             .timings(REPLICATION_TIMINGS)
             .commandTimeout(COMMAND_TIMEOUT)
             .snapshotInterval(SNAPSHOT_EVERY_ENTRIES)
+            .maximumLogBytes(maximumLogBytes(settings))
             .build();
     this.queues = new QueueService(configuration, jobs, this::commit);
     this.reports = new FleetReports(replica, jobs, workers);
@@ -160,6 +168,11 @@
     registerGauges();
   }
 
+  private static long maximumLogBytes(FleetSettings settings) {
+    long heapBytes = Runtime.getRuntime().maxMemory();
+    return Math.min(heapBytes, settings.diskBytes().orElse(heapBytes)) / LOG_SHARE;
+  }
+
   private void registerGauges() {
     metrics.gauge("replica.term", () -> () -> replica.status().map(ReplicaStatus::term).orElse(0L));
     metrics.gauge(
@@ -173,6 +186,12 @@
     gaugeOfReplica("replica.bearableLosses", ReplicaStatus::bearableLosses);
     gaugeOfReplica(
         "replica.isVoter", status -> Optional.of(status.membership() == Membership.VOTER ? 1 : 0));
+    metrics.gauge(
+        "replica.logEntries",
+        () -> () -> replica.status().map(ReplicaStatus::logEntries).orElse(0L));
+    metrics.gauge(
+        "replica.logBytes", () -> () -> replica.status().map(ReplicaStatus::logBytes).orElse(0L));
+    metrics.gauge("replica.logFileBytes", () -> () -> replica.logFileBytes().orElse(0L));
     metrics.gauge("replica.knowsLeader", () -> () -> knowsLeader() ? 1 : 0);
     metrics.gauge("replica.mayDecide", () -> () -> replica.mayDecide() ? 1 : 0);
   }
--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetSettings.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetSettings.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
+import java.util.OptionalLong;
 import org.verbenawheel.execution.ExecutionTimings;
 import org.verbenawheel.execution.MoveTimings;
 import org.verbenawheel.execution.WaveTimings;
@@ -20,6 +21,7 @@
  * @param waves timings of maintenance waves
  * @param moves timings of host moves
  * @param jobRetention how long the outcome of an ended job is kept
+ * @param diskBytes the size of the disk that holds the data folder, in bytes; empty if unknown
  */
 public record FleetSettings(
     ProcessId process,
@@ -30,4 +32,5 @@
     ExecutionTimings execution,
     WaveTimings waves,
     MoveTimings moves,
-    Duration jobRetention) {}
+    Duration jobRetention,
+    OptionalLong diskBytes) {}
