Release a run that is not listed only by a complete listing

Cause: a worker lists 500 ends at a time, and a run in neither list was taken for one that never started. The leader that had sent the orders did the same.

Ruled out: a change of leader as a condition; answers that overtake each other; ends that are acknowledged before they are committed.

Change: the adapter says whether a listing is complete, and only a complete one releases runs.

--- a/core/src/main/java/org/verbenawheel/execution/WorkerCalls.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerCalls.java
@@ -124,12 +124,15 @@
    *     if the answer lacks it
    * @param running the runs in progress
    * @param ended the ends that the worker was not yet allowed to discard, the oldest first
+   * @param complete whether all these ends are listed; otherwise a run that is not listed may have
+   *     ended
    */
   record Listing(
       long clockMilliseconds,
       Optional<Long> bornAtMilliseconds,
       ImmutableList<ListedRun> running,
-      ImmutableList<ListedEnd> ended) {}
+      ImmutableList<ListedEnd> ended,
+      boolean complete) {}
 
   /**
    * A run in progress on a worker.
--- a/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
@@ -26,10 +26,11 @@
  * starts and stops runs, and reconciles the runs that it lists with those bound to it. Confined to
  * the state thread.
  *
- * <p>A bound run that the worker does not list is released only if it can never appear there: the
- * worker refuses the start order because of its fencing token, or its listing was requested after
- * it had confirmed the run, or every lease has expired, or the worker has ended. A report of
- * another worker does not prove that: it may be delayed, or come from another installation.
+ * <p>A bound run that the worker does not list is released only if the listing is complete, so that
+ * the run has not ended, and if it can never appear there: the worker refuses the start order
+ * because of its fencing token, or its listing was requested after it had confirmed the run, or
+ * every lease has expired, or the worker has ended. A report of another worker does not prove that:
+ * it may be delayed, or come from another installation.
  */
 final class WorkerSession {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -340,7 +341,8 @@
       if (end != null) {
         ends.add(new RunEnd(name, task.run(), end.ending(), end.checkpoint()));
         context.failureTracker().onRunEnded(worker.id(), task.id(), end.ending(), context.now());
-      } else if ((run == null || run.run() != task.run())
+      } else if (listing.complete()
+          && (run == null || run.run() != task.run())
           && orders.cannotAppear(task, token, sentAt)) {
         ends.add(new RunEnd(name, task.run(), RunEnding.NOT_STARTED, ""));
       }
--- a/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
+++ b/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
@@ -26,6 +26,7 @@
  */
 final class FakeWorker {
   private static final long CLOCK_OFFSET = 1_000_000;
+  private static final int MAXIMUM_LISTED_ENDS = 500;
 
   private final String id;
   private final FleetHarness harness;
@@ -245,7 +246,11 @@
         (task, run) -> runs.add(new ListedRun(task, run, "", percent.orElse(progress), load)));
     return CompletableFuture.completedFuture(
         new Listing(
-            clock(), Optional.of(bornAtMilliseconds), runs.build(), ImmutableList.copyOf(ends)));
+            clock(),
+            Optional.of(bornAtMilliseconds),
+            runs.build(),
+            ends.stream().limit(MAXIMUM_LISTED_ENDS).collect(ImmutableList.toImmutableList()),
+            ends.size() < MAXIMUM_LISTED_ENDS));
   }
 
   private void expire() {
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -2,6 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.LinkedHashMultiset;
+import com.google.common.collect.Multiset;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -83,6 +86,7 @@
   private final Deque<Runnable> stateThreadTasks = new ArrayDeque<>();
   private final List<Runnable> heldCommits = new ArrayList<>();
   private final List<String> startedTwice = new ArrayList<>();
+  private final Multiset<String> starts = LinkedHashMultiset.create();
   private final InstantSource clock = this::now;
   private final MetricRegistry metrics = new MetricRegistry();
   private Instant now = START;
@@ -410,6 +414,7 @@
    * Records that a worker started a task, which must not run on another worker at the same time.
    */
   void onStarted(String worker, String task) {
+    starts.add(task);
     for (Map.Entry<String, FakeWorker> other : workers.entrySet()) {
       boolean runsThere = !other.getKey().equals(worker) && other.getValue().isRunning(task);
       if (runsThere) {
@@ -422,6 +427,14 @@
     return ImmutableList.copyOf(startedTwice);
   }
 
+  /** Returns the tasks that were started more than once, at any time. */
+  ImmutableSet<String> startedRepeatedly() {
+    return starts.entrySet().stream()
+        .filter(entry -> entry.getCount() > 1)
+        .map(Multiset.Entry::getElement)
+        .collect(ImmutableSet.toImmutableSet());
+  }
+
   /** Lets another worker answer at the address of a worker, which keeps running unseen. */
   void reuseAddress(String worker, String occupant) {
     occupants.put(addressOf(worker), occupant);
