Store the cancelling of an unknown id before it is acknowledged

Cause: nothing was stored about an id that is not known, so a submission that arrived later was accepted. The same cause on a related path: the leaving of a worker that overtakes its report was acknowledged and not stored, and the report brought the worker back.

Ruled out as a remedy: dropping requests whose caller has left, which proves nothing, since the end of a connection may arrive after the request.

A job that arrives after its cancelling is stored as cancelled. The end of an unknown incarnation of a worker is recorded.

--- a/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
@@ -98,11 +98,14 @@
           new IllegalStateException("no configuration yet; the worker must report again"));
     }
     if (!knownPools.contains(reported.pool())) {
-      logIgnored(reported, "no configuration names its pool " + reported.pool());
+      logIgnored(
+          reported.id(),
+          reported.bornAtMilliseconds(),
+          "no configuration names its pool " + reported.pool() + ", address " + reported.address());
       return CompletableFuture.completedFuture(null);
     }
     Optional<Worker> registered = registry.find(reported.id());
-    if (isFromTheFuture(reported)
+    if (isFromTheFuture(reported.id(), reported.bornAtMilliseconds())
         || hasEnded(reported)
         || isOutdated(reported, sequence, registered)
         || (registered.isEmpty() && isSuperseded(reported))) {
@@ -142,23 +145,23 @@
         : failure;
   }
 
-  private boolean isFromTheFuture(Worker reported) {
+  private boolean isFromTheFuture(String id, long bornAtMilliseconds) {
     long latest = timeOfDayMilliseconds.getAsLong() + FUTURE_TOLERANCE.toMillis();
-    if (reported.bornAtMilliseconds() <= latest) {
+    if (bornAtMilliseconds <= latest) {
       return false;
     }
-    logIgnored(reported, "its start lies more than an hour ahead of this process's clock");
+    logIgnored(
+        id, bornAtMilliseconds, "its start lies more than an hour ahead of this process's clock");
     return true;
   }
 
-  private static void logIgnored(Worker reported, String problem) {
+  private static void logIgnored(String id, long bornAtMilliseconds, String problem) {
     logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
         "%s",
         EventLine.of(Event.MESSAGE_REJECTED)
-            .with("what", "report of " + reported.id())
+            .with("what", "report of " + id)
             .with("problem", problem)
-            .with("address", reported.address())
-            .with("born", reported.bornAtMilliseconds()));
+            .with("born", bornAtMilliseconds));
   }
 
   private boolean hasEnded(Worker reported) {
@@ -229,24 +232,28 @@
   }
 
   /**
-   * Removes a worker that announced its end.
+   * Removes a worker that announced its end. The end of an incarnation that is not known is
+   * recorded too, since its reports may arrive later.
    *
    * @param id the worker
    * @param bornAtMilliseconds the incarnation that ends; empty for the registered one
    * @return completes once the end is committed
    */
   public CompletableFuture<?> onLeave(String id, Optional<Long> bornAtMilliseconds) {
-    Optional<Worker> leaving =
-        registry
-            .find(id)
-            .filter(
-                registered ->
-                    bornAtMilliseconds
-                        .filter(born -> born != registered.bornAtMilliseconds())
-                        .isEmpty());
-    return leaving
-        .<CompletableFuture<?>>map(worker -> end(worker, "it announced its end"))
-        .orElseGet(() -> CompletableFuture.completedFuture(null));
+    Optional<Worker> registered = registry.find(id);
+    long registeredBorn = registered.map(Worker::bornAtMilliseconds).orElse(0L);
+    long born = bornAtMilliseconds.orElse(registeredBorn);
+    boolean unknown = registered.isEmpty() && born == 0;
+    if (unknown || born < registeredBorn || isFromTheFuture(id, born)) {
+      return CompletableFuture.completedFuture(null);
+    }
+    if (born > 0) {
+      endedIncarnations.merge(id, born, Math::max);
+    }
+    EndWorker end = new EndWorker(id, born);
+    return registered
+        .<CompletableFuture<?>>map(worker -> remove(worker, end, "it announced its end"))
+        .orElseGet(() -> sink.commit(end));
   }
 
   /** Forgets a worker whose host went down by an order, unless it answers a poll. */
@@ -267,13 +274,6 @@
         });
   }
 
-  private CompletableFuture<?> end(Worker worker, String reason) {
-    if (worker.bornAtMilliseconds() > 0) {
-      endedIncarnations.put(worker.id(), worker.bornAtMilliseconds());
-    }
-    return remove(worker, new EndWorker(worker.id(), worker.bornAtMilliseconds()), reason);
-  }
-
   private CompletableFuture<?> remove(Worker worker, ControlCommand command, String reason) {
     WorkerSession session = sessions.remove(worker.id());
     if (session != null) {
--- a/core/src/main/java/org/verbenawheel/gateway/GatewayMessages.java
+++ b/core/src/main/java/org/verbenawheel/gateway/GatewayMessages.java
@@ -24,6 +24,7 @@
           .add(613, JobCommands.RecordEnds.class)
           .add(614, JobCommands.JobReply.class)
           .add(615, JobCommands.RunsRecorded.class)
+          .add(616, JobCommands.CancellationRefused.class)
           .add(620, WorkerCommands.RecordWorker.class)
           .add(621, WorkerCommands.ForgetWorker.class)
           .add(622, WorkerCommands.WorkersChanged.class)
--- a/core/src/main/java/org/verbenawheel/gateway/QueueService.java
+++ b/core/src/main/java/org/verbenawheel/gateway/QueueService.java
@@ -10,6 +10,7 @@
 import org.verbenawheel.job.Job;
 import org.verbenawheel.job.JobCommands.AcceptJob;
 import org.verbenawheel.job.JobCommands.CancelJob;
+import org.verbenawheel.job.JobCommands.CancellationRefused;
 import org.verbenawheel.job.JobCommands.JobReply;
 import org.verbenawheel.job.JobCommands.Limits;
 import org.verbenawheel.job.JobRegistry;
@@ -148,8 +149,12 @@
     return jobRegistry.find(job).filter(found -> found.queue().equals(queue.address()));
   }
 
+  /**
+   * Cancels a job. The cancellation of a job that is not known is committed too: its submission may
+   * still be on its way, and must not run after the answer.
+   */
   private CompletableFuture<QueueAnswer> cancel(QueueRoute queue, String job) {
-    if (find(queue, job).isEmpty()) {
+    if (!JobIds.isAcceptable(job)) {
       return CompletableFuture.completedFuture(QueueAnswer.of(Outcome.NO_SUCH_JOB));
     }
     return commit(new CancelJob(job, queue.address()))
@@ -171,6 +176,11 @@
   }
 
   private static QueueAnswer answerOf(CommandReply reply) {
+    if (reply instanceof CancellationRefused) {
+      return QueueAnswer.of(
+          Outcome.NOT_DONE,
+          "too many jobs were cancelled before their submission: cancel it again later");
+    }
     boolean known = reply instanceof JobReply jobReply && jobReply.known();
     return QueueAnswer.of(known ? Outcome.CANCELLED : Outcome.NO_SUCH_JOB);
   }
--- a/core/src/main/java/org/verbenawheel/job/JobCommands.java
+++ b/core/src/main/java/org/verbenawheel/job/JobCommands.java
@@ -43,7 +43,8 @@
 
   /**
    * Ends a job at the caller's request. Its bound tasks stay bound until their ends are recorded; a
-   * job that has ended is left unchanged.
+   * job that has ended is left unchanged. If the queue has no such job, one that is submitted later
+   * is stored as cancelled, as long as an ended job would be kept.
    *
    * @param job the job's id
    * @param queue the host name and path prefix that the caller addressed
@@ -102,6 +103,12 @@
    */
   public record JobReply(boolean known) implements CommandReply {}
 
+  /**
+   * Replies to {@link CancelJob} if the queue has no such job and too many cancellations of such
+   * jobs are stored. A job with the id that is submitted later would run.
+   */
+  public record CancellationRefused() implements CommandReply {}
+
   /** Replies to {@link RecordStarts} and {@link RecordEnds}. */
   public record RunsRecorded() implements CommandReply {}
 }
--- a/core/src/main/java/org/verbenawheel/job/JobRegistry.java
+++ b/core/src/main/java/org/verbenawheel/job/JobRegistry.java
@@ -17,6 +17,7 @@
 import org.verbenawheel.codec.MessageCodec;
 import org.verbenawheel.job.JobCommands.AcceptJob;
 import org.verbenawheel.job.JobCommands.CancelJob;
+import org.verbenawheel.job.JobCommands.CancellationRefused;
 import org.verbenawheel.job.JobCommands.JobReply;
 import org.verbenawheel.job.JobCommands.RecordEnds;
 import org.verbenawheel.job.JobCommands.RecordStarts;
@@ -47,6 +48,7 @@
   private final Map<String, Job> active = new LinkedHashMap<>();
   private final Map<String, Map<TaskId, Task>> boundByWorker = new LinkedHashMap<>();
   private final Deque<Job> ended = new ArrayDeque<>();
+  private final EarlyCancellations earlyCancellations;
 
   /**
    * Creates an empty registry.
@@ -55,6 +57,7 @@
    */
   public JobRegistry(Duration retention) {
     this.retention = retention;
+    this.earlyCancellations = new EarlyCancellations(retention);
   }
 
   /** Returns the job with an id; empty if there is none or it was deleted after the retention. */
@@ -126,18 +129,27 @@
 
   private JobReply accept(AcceptJob accept, Instant now) {
     if (!jobs.containsKey(accept.job())) {
-      Job job = new Job(accept, now);
+      boolean cancelled = earlyCancellations.remove(accept.queue(), accept.job());
+      Job job = new Job(cancelled ? accept.withoutWork() : accept, now);
       jobs.put(job.id(), job);
       active.put(job.id(), job);
+      if (cancelled) {
+        endJob(job, JobPhase.CANCELLED, now);
+      }
     }
     return new JobReply(true);
   }
 
-  private JobReply cancel(CancelJob cancel, Instant now) {
+  private CommandReply cancel(CancelJob cancel, Instant now) {
     Optional<Job> job = find(cancel.job()).filter(found -> found.queue().equals(cancel.queue()));
+    if (job.isEmpty()) {
+      return earlyCancellations.add(cancel.queue(), cancel.job(), now)
+          ? new JobReply(false)
+          : new CancellationRefused();
+    }
     job.filter(found -> !found.phase().isTerminal())
         .ifPresent(found -> endJob(found, JobPhase.CANCELLED, now));
-    return new JobReply(job.isPresent());
+    return new JobReply(true);
   }
 
   private void bindIfWaiting(RunStart start) {
@@ -244,13 +256,14 @@
     while (!ended.isEmpty() && ended.peekFirst().isExpired(now, retention)) {
       jobs.remove(ended.removeFirst().id());
     }
+    earlyCancellations.removeExpired(now);
   }
 
   @Override
   public byte[] snapshot() {
     ImmutableList.Builder<JobSnapshot> snapshots = ImmutableList.builder();
     jobs.values().forEach(job -> snapshots.add(job.toSnapshot()));
-    return codec.encode(new JobSnapshot.Jobs(snapshots.build()));
+    return codec.encode(new JobSnapshot.Jobs(snapshots.build(), earlyCancellations.toSnapshot()));
   }
 
   @Override
@@ -260,7 +273,9 @@
     ended.clear();
     boundByWorker.clear();
     try {
-      ((JobSnapshot.Jobs) codec.decode(snapshot)).jobs().forEach(this::restoreJob);
+      JobSnapshot.Jobs restored = (JobSnapshot.Jobs) codec.decode(snapshot);
+      restored.jobs().forEach(this::restoreJob);
+      earlyCancellations.restore(restored.earlyCancellations());
     } catch (MalformedMessageException malformed) {
       throw new DamagedSnapshotException(
           "the jobs in the snapshot cannot be read; replace this replica", malformed);
@@ -287,6 +302,10 @@
 
   @Override
   public Object dump() {
-    return ImmutableMap.of("jobs", jobs.size(), "active", active.size(), "ended", ended.size());
+    return ImmutableMap.of(
+        "jobs", jobs.size(),
+        "active", active.size(),
+        "ended", ended.size(),
+        "earlyCancellations", earlyCancellations.size());
   }
 }
--- a/core/src/main/java/org/verbenawheel/job/JobSnapshot.java
+++ b/core/src/main/java/org/verbenawheel/job/JobSnapshot.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import java.time.Instant;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 import org.verbenawheel.job.JobCommands.AcceptJob;
 import org.verbenawheel.peer.PeerMessage;
 
@@ -32,6 +33,22 @@
       String worker,
       String checkpoint) {}
 
-  /** All jobs in the order of their acceptance: the whole snapshot of {@link JobRegistry}. */
-  record Jobs(ImmutableList<JobSnapshot> jobs) implements PeerMessage {}
+  /** The form of an entry of {@link EarlyCancellations}. */
+  record EarlyCancellation(String queue, String job, Instant cancelledAt) {}
+
+  /**
+   * The whole snapshot of {@link JobRegistry}.
+   *
+   * @param jobs all jobs in the order of their acceptance
+   * @param earlyCancellations the oldest first; absent in snapshots of earlier versions
+   */
+  record Jobs(
+      ImmutableList<JobSnapshot> jobs,
+      @Nullable ImmutableList<EarlyCancellation> earlyCancellations)
+      implements PeerMessage {
+    @Override
+    public ImmutableList<EarlyCancellation> earlyCancellations() {
+      return earlyCancellations == null ? ImmutableList.of() : earlyCancellations;
+    }
+  }
 }
--- a/core/src/main/java/org/verbenawheel/worker/WorkerRegistry.java
+++ b/core/src/main/java/org/verbenawheel/worker/WorkerRegistry.java
@@ -32,6 +32,9 @@
   /** How long the end of a worker is kept: much longer than a report can be delayed. */
   private static final Duration ENDED_RETENTION = Duration.ofMinutes(10);
 
+  /** The maximum number of ended workers; the earliest recorded ones are forgotten first. */
+  private static final int MAXIMUM_ENDED = 20_000;
+
   private static final int SNAPSHOT_KIND = 1;
 
   private final MessageCodec codec =
@@ -115,6 +118,9 @@
         end.id(),
         end,
         (known, added) -> known.bornAtMilliseconds() > added.bornAtMilliseconds() ? known : added);
+    if (ended.size() > MAXIMUM_ENDED) {
+      ended.remove(ended.keySet().iterator().next());
+    }
   }
 
   private void putIfNotOlder(Worker worker) {
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -360,7 +360,12 @@
   }
 
   void leave(String id) {
-    var unused = leadership.roster().onLeave(id, Optional.empty());
+    leave(id, Optional.empty());
+  }
+
+  /** Announces the end of an incarnation of a worker. */
+  void leave(String id, Optional<Long> bornAtMilliseconds) {
+    var unused = leadership.roster().onLeave(id, bornAtMilliseconds);
     runTasks();
   }
 
--- a/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.verbenawheel.job.JobPhase;
 import org.verbenawheel.job.RunEnding;
@@ -226,6 +227,52 @@
     assertThat(harness.isRegistered("w1")).isFalse();
   }
 
+  // The same cause as UNASKED in review/9: an acknowledged order that named something unknown was
+  // not stored, and a report that it had overtaken brought the worker back.
+  @Test
+  void reportThatTheLeavingOvertookIsIgnored() {
+    harness.report("other");
+    harness.leave("w1", Optional.of(10_000L));
+    harness.report("w1");
+    assertThat(harness.isRegistered("w1")).isFalse();
+
+    harness.changeLeader();
+    harness.report("w1");
+    assertThat(harness.isRegistered("w1")).isFalse();
+
+    harness.worker("w1").restart();
+    harness.report("w1");
+    assertThat(harness.isRegistered("w1")).isTrue();
+  }
+
+  @Test
+  void leavingOfALaterIncarnationEndsTheRegisteredOne() {
+    harness.report("w1");
+    harness.submit("a", StepSpecification.builder().build());
+    harness.advance(Duration.ofMillis(200));
+    harness.worker("w1").restart();
+    long born = harness.worker("w1").bornAtMilliseconds();
+    harness.worker("w1").terminate();
+
+    harness.leave("w1", Optional.of(born));
+    harness.report("w2");
+    harness.advance(Duration.ofSeconds(1));
+
+    assertThat(harness.isRegistered("w1")).isFalse();
+    assertThat(harness.worker("w2").running()).containsExactly("a.0.0.0/2");
+  }
+
+  @Test
+  void leavingOfAnEarlierIncarnationChangesNothing() {
+    harness.report("w1");
+    harness.worker("w1").restart();
+    harness.report("w1");
+
+    harness.leave("w1", Optional.of(10_000L));
+
+    assertThat(harness.isRegistered("w1")).isTrue();
+  }
+
   @Test
   void workerThatLeftMayReturnInANewIncarnation() {
     harness.report("w1");
--- a/core/src/test/java/org/verbenawheel/gateway/QueueServiceTest.java
+++ b/core/src/test/java/org/verbenawheel/gateway/QueueServiceTest.java
@@ -68,6 +68,26 @@
     assertThat(answerTo(Operation.READ, "/a/j1").phase()).hasValue(JobPhase.CANCELLED);
   }
 
+  // UNASKED, review/9: the answer to a cancelling binds the future, also for an unknown id.
+  @Test
+  void jobThatArrivesAfterItsCancellingWasAnsweredIsCancelled() {
+    assertThat(answerTo(Operation.CANCEL, "/a/j1").outcome()).isEqualTo(Outcome.NO_SUCH_JOB);
+    assertThat(answerTo(Operation.READ, "/a/j1").outcome()).isEqualTo(Outcome.NO_SUCH_JOB);
+
+    assertThat(submit("/a/j1")).isEqualTo(Outcome.ACCEPTED);
+
+    assertThat(jobRegistry.active()).isEmpty();
+    assertThat(answerTo(Operation.READ, "/a/j1").phase()).hasValue(JobPhase.CANCELLED);
+    assertThat(answerTo(Operation.CANCEL, "/a/j1").outcome()).isEqualTo(Outcome.CANCELLED);
+  }
+
+  @Test
+  void cancellingOfAnUnknownJobIsNotAnsweredBeforeItIsCommitted() {
+    commitFailure = Optional.of(RunVerdict.NOT_RUN);
+
+    assertThat(answerTo(Operation.CANCEL, "/a/j1").outcome()).isEqualTo(Outcome.NOT_DONE);
+  }
+
   @Test
   void unknownQueueAndUnknownJobHaveTheirOwnOutcomes() {
     assertThat(submit("/b/j1")).isEqualTo(Outcome.NO_SUCH_QUEUE);
--- a/core/src/test/java/org/verbenawheel/job/JobRegistryTest.java
+++ b/core/src/test/java/org/verbenawheel/job/JobRegistryTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.verbenawheel.job.JobCommands.AcceptJob;
 import org.verbenawheel.job.JobCommands.CancelJob;
+import org.verbenawheel.job.JobCommands.CancellationRefused;
 import org.verbenawheel.job.JobCommands.JobReply;
 import org.verbenawheel.job.JobCommands.Limits;
 import org.verbenawheel.job.JobCommands.RecordEnds;
@@ -159,6 +160,64 @@
     assertThat(phaseOf("a")).isEqualTo(JobPhase.QUEUED);
   }
 
+  // UNASKED, review/9: a submission that was delayed at an entry ran seconds after the cancelling
+  // of its unknown id had been acknowledged.
+  @Test
+  void jobThatArrivesAfterItsCancellationIsStoredAsCancelled() {
+    JobReply reply = (JobReply) apply(new CancelJob("a", "q"));
+    assertThat(reply.known()).isFalse();
+    assertThat(jobRegistry.find("a")).isEmpty();
+
+    accept("a", TASK);
+    start("a.0.0.0", 1, "w");
+
+    assertThat(phaseOf("a")).isEqualTo(JobPhase.CANCELLED);
+    assertThat(jobRegistry.active()).isEmpty();
+    assertThat(jobRegistry.boundTo("w")).isEmpty();
+  }
+
+  @Test
+  void earlyCancellationIsKeptInASnapshotForTheRetention() throws DamagedSnapshotException {
+    apply(new CancelJob("a", "q"));
+    apply(new CancelJob("b", "q"));
+    JobRegistry restored = new JobRegistry(RETENTION);
+    restored.restore(jobRegistry.snapshot());
+    assertThat(restored.snapshot()).isEqualTo(jobRegistry.snapshot());
+
+    now = START.plus(RETENTION);
+    accept("a", TASK);
+    now = START.plus(RETENTION).plusMillis(1);
+    accept("b", TASK);
+
+    assertThat(phaseOf("a")).isEqualTo(JobPhase.CANCELLED);
+    assertThat(phaseOf("b")).isEqualTo(JobPhase.QUEUED);
+  }
+
+  @Test
+  void earlyCancellationOfAnotherQueueChangesNothing() {
+    apply(new CancelJob("a", "other"));
+
+    accept("a", TASK);
+
+    assertThat(phaseOf("a")).isEqualTo(JobPhase.QUEUED);
+  }
+
+  // An acknowledged cancellation must not be dropped to make room for another one.
+  @Test
+  void tooManyEarlyCancellationsAreRefusedUntilOlderOnesExpire() {
+    for (int number = 0; number < EarlyCancellations.MAXIMUM; number++) {
+      assertThat(apply(new CancelJob("c-" + number, "q"))).isEqualTo(new JobReply(false));
+    }
+    assertThat(apply(new CancelJob("late", "q"))).isEqualTo(new CancellationRefused());
+    assertThat(apply(new CancelJob("c-1", "q"))).isEqualTo(new JobReply(false));
+    accept("c-0", TASK);
+    assertThat(phaseOf("c-0")).isEqualTo(JobPhase.CANCELLED);
+
+    now = START.plus(RETENTION).plusMillis(1);
+
+    assertThat(apply(new CancelJob("late", "q"))).isEqualTo(new JobReply(false));
+  }
+
   @Test
   void endedJobIsDeletedOnlyAfterItsRetention() {
     accept("a", TASK);
