Use the result of each early cancellation

EarlyCancellations.add had an annotation that allows callers to ignore its result; its one caller does not.

--- a/core/src/main/java/org/verbenawheel/job/EarlyCancellations.java
+++ b/core/src/main/java/org/verbenawheel/job/EarlyCancellations.java
@@ -1,7 +1,6 @@
 package org.verbenawheel.job;
 
 import com.google.common.collect.ImmutableList;
-import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Iterator;
@@ -39,7 +38,6 @@
    * @param now the state time
    * @return false if there are too many, so that it was not added
    */
-  @CanIgnoreReturnValue
   boolean add(String queue, String job, Instant now) {
     Key key = new Key(queue, job);
     cancelledAt.remove(key);
