--- a/core/src/main/java/org/verbenawheel/execution/WorkerClock.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerClock.java
@@ -12,6 +12,9 @@
  * nothing beyond what was granted.
  */
 final class WorkerClock {
+  /** An answer is not delayed for longer than its call waits. */
+  private static final Duration LONGEST_DELAY = Duration.ofSeconds(2);
+
   private final ExecutionTimings timings;
   private long lastReading;
   private Optional<Instant> readAt = Optional.empty();
@@ -25,18 +28,16 @@
 
   /** Records a reading that the worker sent, unless it is so low that it must have been delayed. */
   void onReading(long milliseconds, Instant now) {
-    if (isPlausible(milliseconds, now)) {
+    if (readAt.isEmpty() || milliseconds >= estimate(now, timings.slowestClockRate())) {
       lastReading = milliseconds;
       readAt = Optional.of(now);
     }
   }
 
-  /**
-   * Returns whether a reading is not too low. One that is too low was delayed, or is that of
-   * another incarnation.
-   */
-  boolean isPlausible(long milliseconds, Instant now) {
-    return readAt.isEmpty() || milliseconds >= estimate(now, timings.slowestClockRate());
+  /** Returns whether a reading is so low that no delay explains it: another incarnation sent it. */
+  boolean isOfAnotherIncarnation(long milliseconds, Instant now) {
+    long lowest = estimate(now, timings.slowestClockRate()) - LONGEST_DELAY.toMillis();
+    return readAt.isPresent() && milliseconds < lowest;
   }
 
   /**
--- a/core/src/main/java/org/verbenawheel/execution/WorkerLeases.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerLeases.java
@@ -50,9 +50,9 @@
     clock.onReading(milliseconds, now);
   }
 
-  /** Returns whether a reading is not too low for the clock of the known incarnation. */
-  boolean isPlausible(long milliseconds, Instant now) {
-    return clock.isPlausible(milliseconds, now);
+  /** Returns whether a reading cannot be that of the known incarnation's clock. */
+  boolean isOfAnotherIncarnation(long milliseconds, Instant now) {
+    return clock.isOfAnotherIncarnation(milliseconds, now);
   }
 
   /**
--- a/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
@@ -136,12 +136,14 @@
 
   /**
    * Records contact with the worker. The answer does not tell which incarnation it is of, so the
-   * reading does not set the clock; one that is too low is a reason to ask.
+   * reading does not set the clock; one that cannot be of the known incarnation is a reason to ask.
    */
   void onAnswer(Optional<Long> clockMilliseconds) {
     Instant now = context.now();
     lastContactAt = Optional.of(now);
-    if (clockMilliseconds.filter(reading -> !leases.isPlausible(reading, now)).isPresent()) {
+    if (clockMilliseconds
+        .filter(reading -> leases.isOfAnotherIncarnation(reading, now))
+        .isPresent()) {
       requestPoll();
     }
   }
