--- a/core/src/main/java/org/verbenawheel/event/Event.java
+++ b/core/src/main/java/org/verbenawheel/event/Event.java
@@ -101,6 +101,8 @@
   RUN_BOUND,
   /** A run of a task ended. */
   RUN_ENDED,
+  /** A run of a task was taken to have ended although its worker listed no end of it. */
+  RUN_RELEASED,
   /** A task was slowed down or sped up, for the sake of other tasks on its worker. */
   RUN_PACED,
   /** A task made no progress on its worker and is stopped there. */
@@ -111,6 +113,8 @@
   WORKER_RECORDED,
   /** A worker left and is removed from the registry. */
   WORKER_FORGOTTEN,
+  /** Another incarnation of a worker answered than the one that a call was meant for. */
+  WORKER_INCARNATION,
   /** A worker stopped responding. */
   WORKER_LOST,
   /** A worker responds again, or for the first time since this leader's election. */
--- a/core/src/main/java/org/verbenawheel/execution/FleetContext.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetContext.java
@@ -21,6 +21,7 @@
  * @param requestRound requests that waiting tasks are bound to workers
  * @param failureTracker quarantines workers that fail tasks which other workers can run
  * @param adviceCache the placement adviser's answers
+ * @param log logs and counts what explains why a task ran more than once
  * @param firstFencingToken the lowest fencing token of this leadership
  * @param leadingSince when this leadership began
  */
@@ -34,6 +35,7 @@
     Runnable requestRound,
     WorkerFailureTracker failureTracker,
     AdviceCache adviceCache,
+    ExecutionLog log,
     long firstFencingToken,
     Instant leadingSince) {
 
--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -22,7 +22,6 @@
 import org.verbenawheel.job.Job;
 import org.verbenawheel.job.JobCommands.RunEnd;
 import org.verbenawheel.job.JobRegistry;
-import org.verbenawheel.job.RunEnding;
 import org.verbenawheel.job.Task;
 import org.verbenawheel.queue.AdvicePolicy;
 import org.verbenawheel.queue.FleetConfigurationState;
@@ -72,6 +71,7 @@
             this::requestRound,
             new WorkerFailureTracker(),
             new AdviceCache(),
+            new ExecutionLog(factory.metrics),
             term * FENCING_TOKENS_PER_TERM,
             factory.clock.instant());
     this.roster =
@@ -196,7 +196,7 @@
     for (WorkerSession session : ImmutableList.copyOf(sessions.values())) {
       session.onTick(now);
       if (session.isExpired(now)) {
-        roster.forgetInBackground(session.worker(), "silent");
+        roster.forgetInBackground(session.worker(), ReleaseProof.WORKER_FORGOTTEN, "silent");
       }
     }
     releaseRunsOfForgottenWorkers();
@@ -226,7 +226,7 @@
     for (String worker : context.jobRegistry().boundWorkers()) {
       if (!sessions.containsKey(worker)) {
         for (Task task : context.jobRegistry().boundTo(worker)) {
-          ends.add(new RunEnd(task.id().text(), task.run(), RunEnding.LAPSED, ""));
+          ends.add(context.log().onReleaseFromForgotten(worker, task.id().text(), task.run()));
         }
       }
     }
--- a/core/src/main/java/org/verbenawheel/execution/RunAttempt.java
+++ b/core/src/main/java/org/verbenawheel/execution/RunAttempt.java
@@ -1,6 +1,8 @@
 package org.verbenawheel.execution;
 
 import java.time.Instant;
+import java.util.Optional;
+import org.verbenawheel.worker.Worker;
 
 /**
  * Tracks one order to start a run: whether it was sent, with which fencing token, and whether the
@@ -10,6 +12,7 @@
   private final int run;
   private boolean sent;
   private boolean confirmed;
+  private Optional<Worker> worker = Optional.empty();
   private long fencingToken;
   private Instant confirmedAt = Instant.MAX;
 
@@ -21,8 +24,20 @@
     return run;
   }
 
-  void onSent(long token) {
+  /** Returns the incarnation that the start order was sent to; empty if it was not sent. */
+  Optional<Worker> worker() {
+    return worker;
+  }
+
+  /** Returns the fencing token of the start order. */
+  long fencingToken() {
+    return fencingToken;
+  }
+
+  /** Records that the start order was sent to an incarnation of the worker. */
+  void onSent(Worker addressee, long token) {
     sent = true;
+    worker = Optional.of(addressee);
     fencingToken = token;
   }
 
@@ -32,16 +47,20 @@
   }
 
   /**
-   * Returns whether a run that a listing lacks can never appear on the worker.
+   * Returns why a run that a listing lacks can never appear on the worker; empty if it can.
    *
    * @param pollToken the fencing token of the poll that returned the listing
    * @param pollSentAt when that poll was sent
    */
-  boolean cannotAppearIfUnlisted(long pollToken, Instant pollSentAt) {
+  Optional<ReleaseProof> proofIfUnlisted(long pollToken, Instant pollSentAt) {
     if (!sent) {
-      return false;
+      return Optional.empty();
+    }
+    if (pollToken > fencingToken) {
+      return Optional.of(ReleaseProof.FENCED);
     }
-    // A worker that has seen a higher token refuses the start order if it still arrives.
-    return pollToken > fencingToken || (confirmed && pollSentAt.isAfter(confirmedAt));
+    return confirmed && pollSentAt.isAfter(confirmedAt)
+        ? Optional.of(ReleaseProof.GONE)
+        : Optional.empty();
   }
 }
--- a/core/src/main/java/org/verbenawheel/execution/RunOrders.java
+++ b/core/src/main/java/org/verbenawheel/execution/RunOrders.java
@@ -1,7 +1,6 @@
 package org.verbenawheel.execution;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.flogger.FluentLogger;
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.time.Instant;
 import java.util.HashMap;
@@ -9,16 +8,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
-import org.verbenawheel.event.Event;
-import org.verbenawheel.event.EventLine;
 import org.verbenawheel.execution.WorkerCalls.StartAnswer;
 import org.verbenawheel.execution.WorkerCalls.StartOrder;
 import org.verbenawheel.execution.WorkerCalls.StartOutcome;
 import org.verbenawheel.execution.WorkerCalls.StopOrder;
 import org.verbenawheel.job.JobCommands.RunEnd;
-import org.verbenawheel.job.RunEnding;
 import org.verbenawheel.job.Task;
 import org.verbenawheel.job.TaskId;
 import org.verbenawheel.request.RunVerdict;
@@ -29,8 +24,6 @@
  * Confined to the state thread.
  */
 final class RunOrders {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
   /**
    * How many start orders, and how many stop orders, a worker may be sent before it answers. An
    * order that waits too long behind others times out, and its run starts over.
@@ -85,11 +78,13 @@
     int run = task.run();
     if (attempt == null || leaseEnd.isEmpty()) {
       onStartAnswered();
-      onNotStarted(task.id(), run, "the worker's clock is unknown");
+      onNotStarted(
+          task.id(), new RunAttempt(run), ReleaseProof.NOT_SENT, "the worker's clock is unknown");
       return;
     }
     long token = session.fencingToken();
-    attempt.onSent(token);
+    Worker addressee = session.worker();
+    attempt.onSent(addressee, token);
     StartOrder order =
         new StartOrder(
             task.id(),
@@ -100,7 +95,7 @@
             task.checkpoint(),
             ticket);
     context.whenDone(
-        context.calls().start(session.worker(), order),
+        context.calls().start(addressee, order),
         (answer, failure) -> {
           onStartAnswered();
           session.leases().onCallEnded(context.now());
@@ -124,36 +119,39 @@
     } else {
       session.backOff();
     }
-    onNotStarted(task, attempt.run(), answer.outcome().name());
+    onNotStarted(task, attempt, ReleaseProof.REFUSED, answer.outcome().name());
   }
 
   private void onStartFailed(TaskId task, RunAttempt attempt, @Nullable Throwable failure) {
-    boolean neverRuns =
-        failure instanceof WorkerCallException refused && refused.verdict() == RunVerdict.NOT_RUN;
     session.backOff();
-    if (neverRuns) {
-      onNotStarted(task, attempt.run(), String.valueOf(failure));
+    if (!mayHaveRun(failure)) {
+      onNotStarted(task, attempt, ReleaseProof.REFUSED, String.valueOf(failure));
       return;
     }
-    logFailedOrder(task, attempt.run(), "no definite answer, fencing token raised: " + failure);
+    logFailedStart(task, attempt, true, "start: " + failure);
     session.raiseFence();
   }
 
-  private void onNotStarted(TaskId task, int run, String reason) {
-    logFailedOrder(task, run, reason);
-    RunEnd end = new RunEnd(task.text(), run, RunEnding.NOT_STARTED, "");
+  private void onNotStarted(TaskId task, RunAttempt attempt, ReleaseProof proof, String reason) {
+    logFailedStart(task, attempt, false, "start: " + reason);
+    Worker worker = attempt.worker().orElse(session.worker());
+    RunEnd end =
+        context
+            .log()
+            .onRelease(worker, attempt.fencingToken(), task.text(), attempt.run(), proof, "");
     context.endRecorder().record(ImmutableList.of(end), () -> forget(end));
   }
 
-  private void logFailedOrder(TaskId task, int run, String reason) {
-    logger.atWarning().atMostEvery(10, TimeUnit.MILLISECONDS).log(
-        "%s",
-        EventLine.of(Event.WORKER_ORDER_FAILED)
-            .with("worker", session.worker().id())
-            .with("task", task)
-            .with("run", run)
-            .with("fencing_token", session.fencingToken())
-            .with("reason", reason));
+  private void logFailedStart(TaskId task, RunAttempt attempt, boolean undecided, String reason) {
+    Worker worker = attempt.worker().orElse(session.worker());
+    context
+        .log()
+        .onOrderFailed(worker, attempt.fencingToken(), task, attempt.run(), undecided, reason);
+  }
+
+  private static boolean mayHaveRun(@Nullable Throwable failure) {
+    return !(failure instanceof WorkerCallException refused)
+        || refused.verdict() != RunVerdict.NOT_RUN;
   }
 
   /**
@@ -194,11 +192,14 @@
     long token = session.fencingToken();
     Worker stoppedWorker = session.worker();
     context.whenDone(
-        context.calls().stop(session.worker(), new StopOrder(task, run, token)),
+        context.calls().stop(stoppedWorker, new StopOrder(task, run, token)),
         (reading, failure) -> {
           unansweredStops--;
           if (failure != null) {
-            logFailedOrder(task, run, "stop: " + failure);
+            context
+                .log()
+                .onOrderFailed(
+                    stoppedWorker, token, task, run, mayHaveRun(failure), "stop: " + failure);
           } else if (stoppedWorker.isSameIncarnation(session.worker())) {
             onStopped(task, run);
           }
@@ -217,14 +218,14 @@
     }
   }
 
-  /** Returns whether a bound run that a listing lacks can never appear on the worker. */
-  boolean cannotAppear(Task task, long token, Instant sentAt) {
+  /** Returns why a bound run that a listing lacks can never appear there; empty if it can. */
+  Optional<ReleaseProof> proofIfUnlisted(Task task, long token, Instant sentAt) {
     RunAttempt attempt = attempts.get(task.id());
-    // Without an attempt of this leadership, an earlier leader sent the order, and the worker
-    // refuses it by its fencing token.
-    return attempt == null
-        || attempt.run() != task.run()
-        || attempt.cannotAppearIfUnlisted(token, sentAt);
+    if (attempt == null || attempt.run() != task.run()) {
+      // An earlier leader sent the order, and the worker refuses it by its fencing token.
+      return Optional.of(ReleaseProof.FENCED);
+    }
+    return attempt.proofIfUnlisted(token, sentAt);
   }
 
   /** Removes a run whose end is committed. */
--- a/core/src/main/java/org/verbenawheel/execution/SchedulingRounds.java
+++ b/core/src/main/java/org/verbenawheel/execution/SchedulingRounds.java
@@ -244,7 +244,8 @@
         EventLine.of(Event.RUN_BOUND)
             .with("task", start.task())
             .with("run", start.run())
-            .with("worker", start.worker()));
+            .with("worker", start.worker())
+            .with("born", session.worker().bornAtMilliseconds()));
     session.orders().start(task.get(), advice.ticket(task.get(), session.worker()));
   }
 }
--- a/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
@@ -74,7 +74,8 @@
     for (Worker worker : registry.all()) {
       if (!knownPools.contains(worker.pool())
           && context.jobRegistry().boundTo(worker.id()).isEmpty()) {
-        forgetInBackground(worker, "no configuration names its pool");
+        forgetInBackground(
+            worker, ReleaseProof.WORKER_FORGOTTEN, "no configuration names its pool");
       }
     }
   }
@@ -208,7 +209,8 @@
         continue;
       }
       if (other.address().equals(worker.address())) {
-        forgetInBackground(other, "another worker answers at its address");
+        forgetInBackground(
+            other, ReleaseProof.ADDRESS_TAKEN, "another worker answers at its address");
       } else if (other.bornAtMilliseconds() < worker.bornAtMilliseconds()) {
         session.endUnlessAnswering("its host has a new worker");
       }
@@ -216,13 +218,13 @@
   }
 
   @Override
-  public void onEnded(Worker worker, String reason) {
+  public void onEnded(Worker worker, ReleaseProof proof, String reason) {
     // A poll of an earlier session may fail after the worker has registered again.
     Optional.ofNullable(sessions.get(worker.id()))
         .map(WorkerSession::worker)
         .filter(present -> present.isSameIncarnation(worker))
         .filter(present -> present.address().equals(worker.address()))
-        .ifPresent(present -> forgetInBackground(present, reason));
+        .ifPresent(present -> forgetInBackground(present, proof, reason));
   }
 
   private void updateSession(Worker reported, Optional<Long> clockMilliseconds) {
@@ -257,7 +259,8 @@
     }
     EndWorker end = new EndWorker(id, born);
     return registered
-        .<CompletableFuture<?>>map(worker -> remove(worker, end, "it announced its end"))
+        .<CompletableFuture<?>>map(
+            worker -> remove(worker, end, ReleaseProof.WORKER_LEFT, "it announced its end"))
         .orElseGet(() -> sink.commit(end));
   }
 
@@ -267,10 +270,10 @@
   }
 
   /** Forgets a worker until it reports again; a failure is only logged. */
-  void forgetInBackground(Worker worker, String reason) {
+  void forgetInBackground(Worker worker, ReleaseProof proof, String reason) {
     ForgetWorker command = new ForgetWorker(worker.id(), worker.bornAtMilliseconds());
     context.whenDone(
-        remove(worker, command, reason),
+        remove(worker, command, proof, reason),
         (reply, failure) -> {
           if (failure != null) {
             logger.atWarning().withCause(failure).log(
@@ -279,11 +282,12 @@
         });
   }
 
-  private CompletableFuture<?> remove(Worker worker, ControlCommand command, String reason) {
+  private CompletableFuture<?> remove(
+      Worker worker, ControlCommand command, ReleaseProof proof, String reason) {
     WorkerSession session = sessions.remove(worker.id());
     if (session != null) {
       lastFencingTokens.put(worker.id(), session.fencingToken());
-      session.releaseAll(context.jobRegistry().boundTo(worker.id()).asList(), reason);
+      session.releaseAll(context.jobRegistry().boundTo(worker.id()).asList(), proof);
     }
     lastReportSequence.remove(worker.id());
     context.failureTracker().forget(worker.id());
--- a/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
@@ -79,7 +79,7 @@
     void onAnswered(Worker worker);
 
     /** The worker has ended, so that its runs can be released. */
-    void onEnded(Worker worker, String reason);
+    void onEnded(Worker worker, ReleaseProof proof, String reason);
   }
 
   /**
@@ -236,7 +236,7 @@
         bound.stream()
             .filter(task -> leases.hasExpired(task, now))
             .collect(ImmutableList.toImmutableList());
-    releaseAll(expired, "every lease has expired");
+    releaseAll(expired, ReleaseProof.LEASES_EXPIRED);
   }
 
   private void poll(Instant now, ImmutableList<Task> bound) {
@@ -285,10 +285,12 @@
         failure instanceof WorkerCallException callFailure
             && callFailure.reason() == WorkerCallException.Reason.OTHER_WORKER;
     if (addressReused) {
-      listener.onEnded(worker, "another worker answers at its address");
+      listener.onEnded(worker, ReleaseProof.ADDRESS_TAKEN, "another worker answers at its address");
       return;
     }
-    claimBefore(sentAt).ifPresent(claim -> listener.onEnded(worker, claim.reason()));
+    claimBefore(sentAt)
+        .ifPresent(
+            claim -> listener.onEnded(worker, ReleaseProof.CLAIM_UNANSWERED, claim.reason()));
   }
 
   private void onListing(Listing listing, long token, Instant sentAt) {
@@ -307,6 +309,7 @@
           "%s",
           EventLine.of(Event.WORKER_REACHED)
               .with("worker", worker.id())
+              .with("born", worker.bornAtMilliseconds())
               .with("fencing_token", token)
               .with("running", listing.running().size()));
     }
@@ -340,6 +343,7 @@
    * other attributes.
    */
   private void onOtherIncarnation(long born) {
+    context.log().onOtherIncarnation(worker, born);
     if (born > worker.bornAtMilliseconds()) {
       worker = worker.withBornAtMilliseconds(born);
       resetForNewIncarnation();
@@ -362,10 +366,10 @@
       if (end != null) {
         ends.add(new RunEnd(name, task.run(), end.ending(), end.checkpoint()));
         context.failureTracker().onRunEnded(worker.id(), task.id(), end.ending(), context.now());
-      } else if (listing.complete()
-          && (run == null || run.run() != task.run())
-          && orders.cannotAppear(task, token, sentAt)) {
-        ends.add(new RunEnd(name, task.run(), RunEnding.NOT_STARTED, ""));
+      } else if (listing.complete() && (run == null || run.run() != task.run())) {
+        orders
+            .proofIfUnlisted(task, token, sentAt)
+            .ifPresent(proof -> ends.add(release(task, proof, "")));
       }
     }
     stopUnboundRuns(listing);
@@ -401,7 +405,7 @@
   }
 
   /** Records the given runs of a lost worker as lapsed, with their last listed checkpoints. */
-  void releaseAll(ImmutableList<Task> bound, String reason) {
+  void releaseAll(ImmutableList<Task> bound, ReleaseProof proof) {
     if (bound.isEmpty()) {
       return;
     }
@@ -410,14 +414,20 @@
         EventLine.of(Event.WORKER_LOST)
             .with("worker", worker.id())
             .with("released", bound.size())
-            .with("reason", reason));
+            .with("reason", proof));
     List<RunEnd> ends = new ArrayList<>();
     for (Task task : bound) {
-      ends.add(new RunEnd(task.id().text(), task.run(), RunEnding.LAPSED, checkpointOf(task)));
+      ends.add(release(task, proof, checkpointOf(task)));
     }
     context.endRecorder().record(ends, () -> ends.forEach(orders::forget));
   }
 
+  private RunEnd release(Task task, ReleaseProof proof, String checkpoint) {
+    return context
+        .log()
+        .onRelease(worker, fencingToken, task.id().text(), task.run(), proof, checkpoint);
+  }
+
   private String checkpointOf(Task task) {
     ListedRun run = listed.get(task.id().text());
     return run != null && run.run() == task.run() ? run.checkpoint() : "";
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -367,7 +367,7 @@
 
   /** Tells the roster that a session found its worker ended. */
   void onEnded(Worker worker) {
-    leadership.roster().onEnded(worker, "ended by the test");
+    leadership.roster().onEnded(worker, ReleaseProof.CLAIM_UNANSWERED, "ended by the test");
     runTasks();
   }
 
