--- a/daemon/src/test/java/org/verbenawheel/http/HttpConnectionsTest.java
+++ b/daemon/src/test/java/org/verbenawheel/http/HttpConnectionsTest.java
@@ -1,6 +1,7 @@
 package org.verbenawheel.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.common.collect.ImmutableMap;
@@ -76,6 +77,24 @@
     assertThat(served).containsExactly("/first", "/last").inOrder();
   }
 
+  // A request that had failed seconds before was delivered when the network healed.
+  @Test
+  void requestThatTimedOutDuringACutIsNotDeliveredWhenItHeals() throws Exception {
+    firstMayEnd.countDown();
+    try (HoldingProxy network = new HoldingProxy(server.getAddress())) {
+      HttpCall request =
+          new HttpCall("POST", "/held", ImmutableMap.of(), "", Duration.ofMillis(200));
+      assertThrows(
+          ExecutionException.class,
+          () -> connections.send(network.address(), request).get(10, TimeUnit.SECONDS));
+
+      network.heal();
+
+      await().atMost(TIMEOUT).until(() -> network.finishedConnections() == 1);
+      assertThat(served).isEmpty();
+    }
+  }
+
   private static HttpCall call(String path, BooleanSupplier precondition) {
     return new HttpCall("POST", path, ImmutableMap.of(), "", TIMEOUT, precondition);
   }
