--- a/core/src/main/java/org/verbenawheel/execution/RunOrders.java
+++ b/core/src/main/java/org/verbenawheel/execution/RunOrders.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
-import org.verbenawheel.execution.WorkerCalls.StartAnswer;
 import org.verbenawheel.execution.WorkerCalls.StartOrder;
 import org.verbenawheel.execution.WorkerCalls.StartOutcome;
 import org.verbenawheel.execution.WorkerCalls.StopOrder;
@@ -96,33 +95,33 @@
             ticket);
     context.whenDone(
         context.calls().start(addressee, order),
-        (answer, failure) -> {
+        (outcome, failure) -> {
           onStartAnswered();
-          session.leases().onCallEnded(context.now());
-          if (answer != null) {
-            onStartAnswer(task.id(), attempt, answer);
+          if (outcome != null) {
+            onStartAnswer(task.id(), attempt, outcome);
           } else {
             onStartFailed(task.id(), attempt, failure);
           }
         });
   }
 
-  private void onStartAnswer(TaskId task, RunAttempt attempt, StartAnswer answer) {
+  private void onStartAnswer(TaskId task, RunAttempt attempt, StartOutcome outcome) {
     Instant now = context.now();
-    session.onAnswer(answer.clockMilliseconds());
-    if (answer.outcome() == StartOutcome.STARTED) {
+    attempt.worker().ifPresent(session::onAnswer);
+    if (outcome == StartOutcome.STARTED) {
       attempt.onConfirmed(now);
       return;
     }
-    if (answer.outcome() == StartOutcome.NO_TICKET) {
+    if (outcome == StartOutcome.NO_TICKET) {
       context.adviceCache().remove(task.stepText(), session.worker().id());
     } else {
       session.backOff();
     }
-    onNotStarted(task, attempt, ReleaseProof.REFUSED, answer.outcome().name());
+    onNotStarted(task, attempt, ReleaseProof.REFUSED, outcome.name());
   }
 
   private void onStartFailed(TaskId task, RunAttempt attempt, @Nullable Throwable failure) {
+    attempt.worker().ifPresent(addressee -> session.onCallFailed(addressee, failure));
     session.backOff();
     if (!mayHaveRun(failure)) {
       onNotStarted(task, attempt, ReleaseProof.REFUSED, String.valueOf(failure));
@@ -196,6 +195,7 @@
         (reading, failure) -> {
           unansweredStops--;
           if (failure != null) {
+            session.onCallFailed(stoppedWorker, failure);
             context
                 .log()
                 .onOrderFailed(
--- a/core/src/main/java/org/verbenawheel/execution/WorkerCalls.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerCalls.java
@@ -10,11 +10,15 @@
 /**
  * Sends orders to workers. Thread-safe; never blocks.
  *
+ * <p>A call reaches the incarnation that it names, or none, however late it arrives: each
+ * connection belongs to one incarnation, which is known before an order is sent on it. A worker
+ * that names no incarnation has only one.
+ *
  * <p>Each call fails with a {@link WorkerCallException} if the worker gave no definite answer.
  */
 public interface WorkerCalls {
   /** Orders a worker to start a run. */
-  CompletableFuture<StartAnswer> start(Worker worker, StartOrder order);
+  CompletableFuture<StartOutcome> start(Worker worker, StartOrder order);
 
   /**
    * Orders a worker to stop a run, and never to start it if its start order arrives later. Returns
@@ -108,14 +112,6 @@
     UNREADABLE
   }
 
-  /**
-   * The answer to a start order.
-   *
-   * @param outcome the worker's decision
-   * @param clockMilliseconds the worker's clock; empty if the answer lacks it
-   */
-  record StartAnswer(StartOutcome outcome, Optional<Long> clockMilliseconds) {}
-
   /**
    * The running and ended runs of a worker.
    *
--- a/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableCollection;
 import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -134,18 +135,22 @@
     return leases;
   }
 
+  /** Records an answer of an incarnation, which may have been replaced meanwhile. */
+  void onAnswer(Worker addressee) {
+    if (addressee.isSameIncarnation(worker)) {
+      lastContactAt = Optional.of(context.now());
+    }
+  }
+
   /**
-   * Records contact with the worker. The answer does not tell which incarnation it is of, so the
-   * reading does not set the clock; one that cannot be of the known incarnation is a reason to ask.
+   * Records that a call failed; returns whether that showed that a later incarnation is there. A
+   * call to an incarnation that is not the known one any more shows nothing new.
    */
-  void onAnswer(Optional<Long> clockMilliseconds) {
-    Instant now = context.now();
-    lastContactAt = Optional.of(now);
-    if (clockMilliseconds
-        .filter(reading -> leases.isOfAnotherIncarnation(reading, now))
-        .isPresent()) {
-      requestPoll();
-    }
+  @CanIgnoreReturnValue
+  boolean onCallFailed(Worker addressee, @Nullable Throwable failure) {
+    return addressee.isSameIncarnation(worker)
+        && failure instanceof WorkerCallException callFailure
+        && callFailure.otherBornAtMilliseconds().filter(this::onOtherIncarnation).isPresent();
   }
 
   /** Assigns no new tasks to the worker until {@link ExecutionTimings#pollRetry()} has passed. */
@@ -194,7 +199,7 @@
 
   /** Discards everything that was learned from an earlier incarnation of the worker. */
   private void resetForNewIncarnation() {
-    leases.onNewIncarnation();
+    leases.onNewIncarnation(context.now());
     confirmedToken = -1;
     acknowledgedEnd = 0;
     consecutiveFailures = 0;
@@ -218,8 +223,8 @@
    */
   void onTick(Instant now) {
     ImmutableList<Task> bound = context.jobRegistry().boundTo(worker.id()).asList();
-    if (consecutiveFailures > 0 && !bound.isEmpty()) {
-      releaseExpired(bound, now);
+    if (consecutiveFailures > 0 && leases.haveAllExpired(now)) {
+      releaseAll(bound, ReleaseProof.LEASES_EXPIRED);
     }
     if (confirmedToken >= context.firstFencingToken()) {
       orders.sendStops(bound, now);
@@ -231,14 +236,6 @@
     }
   }
 
-  private void releaseExpired(ImmutableList<Task> bound, Instant now) {
-    ImmutableList<Task> expired =
-        bound.stream()
-            .filter(task -> leases.hasExpired(task, now))
-            .collect(ImmutableList.toImmutableList());
-    releaseAll(expired, ReleaseProof.LEASES_EXPIRED);
-  }
-
   private void poll(Instant now, ImmutableList<Task> bound) {
     boolean upToDate = confirmedToken == fencingToken && consecutiveFailures == 0;
     long waitMilliseconds =
@@ -258,13 +255,12 @@
         context.calls().poll(worker, order),
         (listing, failure) -> {
           pollsInFlight--;
-          leaseEnd.ifPresent(granted -> leases.onCallEnded(context.now()));
           if (!polledWorker.isSameIncarnation(worker)) {
             return;
           }
           if (listing != null) {
             onListing(listing, token, now);
-          } else {
+          } else if (!onCallFailed(polledWorker, failure)) {
             onPollFailed(failure, now);
           }
         });
@@ -295,13 +291,10 @@
 
   private void onListing(Listing listing, long token, Instant sentAt) {
     Instant now = context.now();
-    boolean otherIncarnation =
-        listing
-            .bornAtMilliseconds()
-            .filter(born -> born != worker.bornAtMilliseconds())
-            .isPresent();
-    if (otherIncarnation) {
-      onOtherIncarnation(listing.bornAtMilliseconds().orElseThrow());
+    Optional<Long> otherBorn =
+        listing.bornAtMilliseconds().filter(born -> born != worker.bornAtMilliseconds());
+    if (otherBorn.isPresent()) {
+      onOtherIncarnation(otherBorn.get());
       return;
     }
     if (consecutiveFailures > 0 || confirmedToken < context.firstFencingToken()) {
@@ -339,15 +332,18 @@
   }
 
   /**
-   * Handles a listing from another incarnation. The report of a new incarnation brings the worker's
-   * other attributes.
+   * Handles the answer of another incarnation; returns whether it is a later one. The report of a
+   * new incarnation brings the worker's other attributes.
    */
-  private void onOtherIncarnation(long born) {
+  @CanIgnoreReturnValue
+  private boolean onOtherIncarnation(long born) {
     context.log().onOtherIncarnation(worker, born);
-    if (born > worker.bornAtMilliseconds()) {
-      worker = worker.withBornAtMilliseconds(born);
-      resetForNewIncarnation();
+    if (born < worker.bornAtMilliseconds()) {
+      return false;
     }
+    worker = worker.withBornAtMilliseconds(born);
+    resetForNewIncarnation();
+    return true;
   }
 
   private void reconcile(Listing listing, long token, Instant sentAt) {
@@ -358,7 +354,6 @@
     listing.ended().forEach(end -> ended.put(end.task() + '/' + end.run(), end));
     List<RunEnd> ends = new ArrayList<>();
     ImmutableCollection<Task> bound = context.jobRegistry().boundTo(worker.id());
-    leases.onListing(bound, running, context.now());
     for (Task task : bound) {
       String name = task.id().text();
       ListedEnd end = ended.get(name + '/' + task.run());
--- a/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
+++ b/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
@@ -16,7 +16,6 @@
 import org.verbenawheel.execution.WorkerCalls.Listing;
 import org.verbenawheel.execution.WorkerCalls.PaceOrder;
 import org.verbenawheel.execution.WorkerCalls.PollRequest;
-import org.verbenawheel.execution.WorkerCalls.StartAnswer;
 import org.verbenawheel.execution.WorkerCalls.StartOrder;
 import org.verbenawheel.execution.WorkerCalls.StartOutcome;
 import org.verbenawheel.execution.WorkerCalls.StopOrder;
@@ -55,7 +54,6 @@
   private int forgottenEnds;
   private boolean requiresTickets;
   private boolean unreachable;
-  private boolean polled;
   private boolean loseNextStart;
   private boolean loseNextAnswer;
   private boolean holdsAnswers;
@@ -124,11 +122,6 @@
     return unreachable;
   }
 
-  /** Returns whether the present incarnation was polled. */
-  boolean isPolled() {
-    return polled;
-  }
-
   void setUnreachable(boolean value) {
     unreachable = value;
   }
@@ -166,7 +159,7 @@
     loseNextAnswer = true;
   }
 
-  /** Carries out the start orders that were lost; they may be meant for an earlier incarnation. */
+  /** Carries out the start orders that were lost, which may be seconds old by now. */
   void deliverLostStarts() {
     lostStarts.forEach(lost -> carryOut(lost.order()));
     lostStarts.clear();
@@ -188,16 +181,13 @@
 
   /**
    * Starts again under its id. The new incarnation knows nothing of before, and its clock starts
-   * anew. A lost order is not delivered to it if the earlier one would have refused the order, or
-   * if the leader no longer waits for the answer, since that closes the connection.
+   * anew. The connections end with the earlier one, and the orders that they still carried.
    */
   void restart() {
     unreachable = false;
-    polled = false;
     bornAtMilliseconds += 1_000;
     clockOffset = CLOCK_READING_AFTER_RESTART - harness.milliseconds();
-    lostStarts.removeIf(
-        lost -> lost.order().fencingToken() < highestToken || lost.answer().isDone());
+    lostStarts.clear();
     running.clear();
     ends.clear();
     highestEnded.clear();
@@ -212,10 +202,10 @@
     requiresTickets = true;
   }
 
-  CompletableFuture<StartAnswer> start(StartOrder order) {
+  CompletableFuture<StartOutcome> start(StartOrder order) {
     if (loseNextStart) {
       loseNextStart = false;
-      CompletableFuture<StartAnswer> answer = new CompletableFuture<>();
+      CompletableFuture<StartOutcome> answer = new CompletableFuture<>();
       lostStarts.add(new LostStart(order, answer));
       harness.runLater(ORDER_TIMEOUT, () -> answer.completeExceptionally(noAnswer()));
       return answer;
@@ -228,7 +218,7 @@
       loseNextAnswer = false;
       return lost();
     }
-    return answer(new StartAnswer(outcome, Optional.of(clock())));
+    return answer(outcome);
   }
 
   private StartOutcome carryOut(StartOrder order) {
@@ -274,7 +264,6 @@
     expire();
     highestToken = Math.max(highestToken, order.fencingToken());
     order.leaseEndMilliseconds().ifPresent(this::extendLease);
-    polled = true;
     int endsBefore = ends.size();
     ends.stream()
         .filter(end -> end.number() <= order.acknowledgedEnd() && end.ending() == RunEnding.DONE)
@@ -320,5 +309,5 @@
   }
 
   /** A start order that was sent but not received yet, and its answer. */
-  private record LostStart(StartOrder order, CompletableFuture<StartAnswer> answer) {}
+  private record LostStart(StartOrder order, CompletableFuture<StartOutcome> answer) {}
 }
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -484,7 +484,7 @@
     return worker + ":1";
   }
 
-  /** Gives an order to the worker at an address if it is the addressee. */
+  /** Gives an order to the incarnation at an address if it is the addressee. */
   private <T> CompletableFuture<T> call(
       Worker addressee, Function<FakeWorker, CompletableFuture<T>> order) {
     FakeWorker occupant = workers.get(occupants.get(addressee.address()));
@@ -494,6 +494,11 @@
     if (!occupant.id().equals(addressee.id())) {
       return failedCall(WorkerCallException.Reason.OTHER_WORKER);
     }
+    boolean intended = occupant.bornAtMilliseconds() == addressee.bornAtMilliseconds();
+    if (!intended && !occupant.isUnreachable()) {
+      return CompletableFuture.failedFuture(
+          WorkerCallException.otherIncarnation(addressee, occupant.bornAtMilliseconds()));
+    }
     return order.apply(occupant);
   }
 
@@ -505,7 +510,7 @@
   /** Delivers orders to the worker at the address that they are sent to. */
   private final class Calls implements WorkerCalls {
     @Override
-    public CompletableFuture<StartAnswer> start(Worker worker, StartOrder order) {
+    public CompletableFuture<StartOutcome> start(Worker worker, StartOrder order) {
       return call(worker, addressee -> addressee.start(order));
     }
 
--- a/core/src/test/java/org/verbenawheel/execution/RestartedWorkerTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/RestartedWorkerTest.java
@@ -9,9 +9,8 @@
 import org.verbenawheel.job.StepSpecification;
 
 /**
- * Tests workers that start again under their ids, take orders that were meant for the earlier
- * incarnation, and are cut off soon after. The operators' runs showed TWICE: the runs that the new
- * incarnation had taken were started elsewhere while its lease went on.
+ * Tests workers that start again under their ids while orders are under way to the earlier
+ * incarnation, and are cut off soon after. The operators' runs showed TWICE.
  */
 final class RestartedWorkerTest {
   private static final Duration LONGER_THAN_ANY_LEASE = Duration.ofSeconds(8);
@@ -29,10 +28,9 @@
     fleet.submit("a", StepSpecification.builder().build());
   }
 
-  // TWICE: the lease was counted by the earlier incarnation's clock, but by the new one's it only
-  // ends at the maximum.
+  // TWICE: the lease was counted by the clock of another incarnation.
   @Test
-  void runTakenByUnknownIncarnationRunsElsewhereOnlyAfterTheLongestLease() {
+  void runOrderedBeforeAnUnknownRestartRunsElsewhereOnlyAfterTheLeases() {
     worker.restart();
     worker.deliverLostStarts();
     worker.setUnreachable(true);
@@ -42,7 +40,7 @@
 
   // TWICE: after the report of the new incarnation every lease granted before counted as expired.
   @Test
-  void runTakenByIncarnationThatOnlyReportedRunsElsewhereOnlyAfterTheLongestLease() {
+  void runOrderedBeforeAReportedRestartRunsElsewhereOnlyAfterTheLeases() {
     worker.restart();
     worker.deliverLostStarts();
     fleet.report("w1");
@@ -51,15 +49,14 @@
     assertThatTaskRunsOnOtherWorkerAfterTheLeases();
   }
 
-  // TWICE: an order that was meant for the earlier incarnation extends the lease of all that runs
-  // on the new one beyond what was granted to it.
+  // TWICE: an order for the earlier incarnation ran on the new one, with a lease nobody counted.
   @Test
-  void listedRunKeepsTheLeaseThatAnOrderForTheEarlierIncarnationGave() {
+  void orderForTheEarlierIncarnationNeverRunsOnTheNext() {
     worker.restart();
     worker.deliverLostStarts();
     fleet.report("w1");
     fleet.advance(Duration.ofMillis(100));
-    assertThat(worker.running()).containsExactly("a.0.0.0/1");
+    assertThat(worker.running()).containsExactly("a.0.0.0/2");
     worker.setUnreachable(true);
 
     assertThatTaskRunsOnOtherWorkerAfterTheLeases();
@@ -67,7 +64,7 @@
 
   // TWICE with the leader killed in between: the next one learns of the new incarnation first.
   @Test
-  void runTakenByIncarnationThatReportsToTheNextLeaderRunsElsewhereOnlyAfterTheLongestLease() {
+  void runOrderedBeforeARestartThatTheNextLeaderLearnsOfRunsElsewhereOnlyAfterTheLeases() {
     worker.restart();
     fleet.changeLeader();
     fleet.advance(LONGER_THAN_ANY_LEASE);
--- a/core/src/test/java/org/verbenawheel/execution/RestartedWorkersSeededTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/RestartedWorkersSeededTest.java
@@ -15,9 +15,6 @@
 /**
  * Draws restarts of workers under their ids, lost and late start orders, late answers, cuts and
  * changes of the leader, and checks from what the workers saw that no task runs twice.
- *
- * <p>An incarnation ends no runs before it was polled: an acknowledgement of the earlier one's ends
- * would delete its own.
  */
 final class RestartedWorkersSeededTest {
   private static final int STEPS = 150;
@@ -79,7 +76,7 @@
       }
       case 9 -> fleet.changeLeader();
       case 10 -> worker.holdAnswers(random.nextBoolean());
-      default -> endRuns(worker);
+      default -> worker.endAll(RunEnding.DONE);
     }
   }
 
@@ -89,12 +86,6 @@
     }
   }
 
-  private static void endRuns(FakeWorker worker) {
-    if (worker.isPolled()) {
-      worker.endAll(RunEnding.DONE);
-    }
-  }
-
   /** Lets all jobs complete. */
   private static void settle(FleetHarness fleet) {
     for (String id : WORKERS) {
@@ -104,7 +95,7 @@
     }
     for (int round = 0; round < 20 && fleet.hasActiveJobs(); round++) {
       fleet.advance(Duration.ofSeconds(2));
-      WORKERS.forEach(id -> endRuns(fleet.worker(id)));
+      WORKERS.forEach(id -> fleet.worker(id).endAll(RunEnding.DONE));
     }
   }
 }
--- a/daemon/src/main/java/org/verbenawheel/http/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/verbenawheel/http/ServerConnectionPool.java
@@ -1,23 +1,12 @@
 package org.verbenawheel.http;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -34,7 +23,7 @@
   private final EventLoop eventLoop;
   private final int maximumConnections;
   private final Supplier<ChannelFuture> connector;
-  private final Deque<Channel> idle = new ArrayDeque<>();
+  private final Deque<ServerConnection> idle = new ArrayDeque<>();
   private final Deque<PendingCall> waiting = new ArrayDeque<>();
   private final Set<Channel> open = new HashSet<>();
   private int connecting;
@@ -66,14 +55,12 @@
   private void sendWaiting() {
     while (!waiting.isEmpty() && !idle.isEmpty()) {
       if (!waiting.getFirst().call.precondition().getAsBoolean()) {
-        waiting
-            .removeFirst()
-            .fail(RunVerdict.NOT_RUN, address + ": not sent, its precondition no longer holds");
+        failPrecondition(waiting.removeFirst());
         continue;
       }
-      Channel channel = idle.removeLast();
-      if (channel.isActive()) {
-        write(channel, waiting.removeFirst());
+      ServerConnection connection = takeIdle(waiting.getFirst().call);
+      if (connection.isOpen()) {
+        send(connection, waiting.removeFirst());
       }
     }
     while (connecting < waiting.size() && open.size() + connecting < maximumConnections) {
@@ -81,6 +68,36 @@
     }
   }
 
+  /** Removes the most suitable idle connection; it may belong to another process or be closed. */
+  private ServerConnection takeIdle(HttpCall call) {
+    ServerConnection chosen =
+        call.intendedServer()
+            .flatMap(
+                server -> idle.stream().filter(connection -> connection.isTo(server)).findFirst())
+            .orElseGet(idle::getLast);
+    idle.remove(chosen);
+    return chosen;
+  }
+
+  /** Sends a request, or first the question which process is at the other end. */
+  private void send(ServerConnection connection, PendingCall pending) {
+    pending.connection = connection;
+    Optional<IntendedServer> server = pending.call.intendedServer();
+    if (server.isEmpty() || connection.isTo(server.get())) {
+      pending.sent = true;
+      connection.write(pending.call, new RequestAnswer(connection, pending));
+    } else if (connection.isIdentified()) {
+      // Its process may have ended unnoticed, and the intended one may be at the address by now.
+      connection.reset();
+      waiting.addFirst(pending);
+      pending.connection = null;
+    } else {
+      connection.write(
+          pending.call.toQuestion(server.get()),
+          new QuestionAnswer(connection, pending, server.get()));
+    }
+  }
+
   private void connect() {
     connecting++;
     connector
@@ -92,7 +109,7 @@
                 Channel channel = future.channel();
                 open.add(channel);
                 channel.closeFuture().addListener(closed -> open.remove(channel));
-                idle.addLast(channel);
+                idle.addLast(new ServerConnection(address, channel));
               } else if (connecting == 0 && open.isEmpty()) {
                 failWaiting("cannot connect: " + future.cause());
               }
@@ -106,54 +123,40 @@
     }
   }
 
-  private void write(Channel channel, PendingCall pending) {
-    HttpCall call = pending.call;
-    byte[] body = call.body().getBytes(UTF_8);
-    DefaultFullHttpRequest message =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            HttpMethod.valueOf(call.method()),
-            call.path(),
-            Unpooled.wrappedBuffer(body));
-    message.headers().set(HttpHeaderNames.HOST, address);
-    if (body.length > 0) {
-      message
-          .headers()
-          .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
-          .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-    }
-    call.headers().forEach((name, value) -> message.headers().set(name, value));
-    pending.channel = channel;
-    channel.pipeline().addLast(new ReplyHandler(pending));
-    var unused = channel.writeAndFlush(message, channel.voidPromise());
-  }
-
   private void timeOut(PendingCall pending) {
-    Channel channel = pending.channel;
-    if (channel == null) {
+    ServerConnection connection = pending.connection;
+    if (connection == null) {
       waiting.remove(pending);
       pending.fail(RunVerdict.NOT_RUN, address + ": no connection within the timeout");
     } else {
-      pending.fail(RunVerdict.MAY_HAVE_RUN, address + ": no answer within the timeout");
-      close(channel);
+      pending.fail(pending.verdictWithoutAnswer(), address + ": no answer within the timeout");
+      connection.reset();
     }
   }
 
+  private void failPrecondition(PendingCall pending) {
+    pending.fail(RunVerdict.NOT_RUN, address + ": not sent, its precondition no longer holds");
+  }
+
   /** Fails the waiting requests as not run and closes all connections. */
   void close() {
     failWaiting("the connections are closed");
-    Set.copyOf(open).forEach(ServerConnectionPool::close);
-  }
-
-  private static void close(Channel channel) {
-    var unused = channel.close();
+    for (Channel channel : Set.copyOf(open)) {
+      var unused = channel.close();
+    }
   }
 
-  /** A request whose outcome is not known yet; it has a channel once it was sent. */
+  /** A request whose outcome is not known yet. */
   private static final class PendingCall {
     private final HttpCall call;
     private final CompletableFuture<HttpReply> reply;
-    private @Nullable Channel channel;
+
+    /** The connection that it was assigned to, if any. */
+    private @Nullable ServerConnection connection;
+
+    /** Whether it was sent itself, and not only the question that precedes it. */
+    private boolean sent;
+
     private java.util.concurrent.@Nullable Future<?> timeout;
 
     PendingCall(HttpCall call, CompletableFuture<HttpReply> reply) {
@@ -161,14 +164,27 @@
       this.reply = reply;
     }
 
+    /** Returns whether the caller has not been told an outcome yet. */
+    boolean isWaitedFor() {
+      return !reply.isDone();
+    }
+
     void succeed(HttpReply answer) {
       cancelTimeout();
       reply.complete(answer);
     }
 
     void fail(RunVerdict verdict, String reason) {
+      fail(new HttpCallException(verdict, reason));
+    }
+
+    void fail(HttpCallException failure) {
       cancelTimeout();
-      reply.completeExceptionally(new HttpCallException(verdict, reason));
+      reply.completeExceptionally(failure);
+    }
+
+    RunVerdict verdictWithoutAnswer() {
+      return sent ? RunVerdict.MAY_HAVE_RUN : RunVerdict.NOT_RUN;
     }
 
     private void cancelTimeout() {
@@ -178,43 +194,68 @@
     }
   }
 
-  /** Reads the answer to one request, then returns the connection to the pool. */
-  private final class ReplyHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
-    private final PendingCall pending;
-    private boolean answered;
+  /** Receives the answer on one connection, then makes the connection available again. */
+  private abstract class Answer implements ServerConnection.AnswerListener {
+    final ServerConnection connection;
+    final PendingCall pending;
 
-    ReplyHandler(PendingCall pending) {
+    Answer(ServerConnection connection, PendingCall pending) {
+      this.connection = connection;
       this.pending = pending;
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-      answered = true;
-      HttpReply reply = new HttpReply(response.status().code(), response.content().toString(UTF_8));
-      Channel channel = context.channel();
-      context.pipeline().remove(this);
-      if (HttpUtil.isKeepAlive(response)) {
-        idle.addLast(channel);
-      } else {
-        close(channel);
-      }
-      pending.succeed(reply);
+    public void onFailed(String reason) {
+      pending.fail(pending.verdictWithoutAnswer(), address + ": " + reason);
       sendWaiting();
     }
 
-    @Override
-    public void channelInactive(ChannelHandlerContext context) {
-      if (!answered) {
-        pending.fail(RunVerdict.MAY_HAVE_RUN, address + ": the connection ended without an answer");
+    void release() {
+      if (connection.isOpen()) {
+        idle.addLast(connection);
       }
-      context.fireChannelInactive();
+    }
+  }
+
+  /** Passes the answer to a request on. */
+  private final class RequestAnswer extends Answer {
+    RequestAnswer(ServerConnection connection, PendingCall pending) {
+      super(connection, pending);
+    }
+
+    @Override
+    public void onReply(HttpReply reply) {
+      release();
+      pending.succeed(reply);
       sendWaiting();
     }
+  }
+
+  /** Sends the request if the answer shows that the intended process is there. */
+  private final class QuestionAnswer extends Answer {
+    private final IntendedServer server;
+
+    QuestionAnswer(ServerConnection connection, PendingCall pending, IntendedServer server) {
+      super(connection, pending);
+      this.server = server;
+    }
 
     @Override
-    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      pending.fail(RunVerdict.MAY_HAVE_RUN, address + ": " + cause);
-      close(context.channel());
+    public void onReply(HttpReply reply) {
+      server.identityReader().apply(reply).ifPresent(connection::identify);
+      boolean mayStillBeSent = pending.isWaitedFor() && connection.isOpen();
+      if (mayStillBeSent && !pending.call.precondition().getAsBoolean()) {
+        failPrecondition(pending);
+      } else if (mayStillBeSent && connection.isTo(server)) {
+        send(connection, pending);
+        return;
+      } else {
+        pending.fail(
+            HttpCallException.otherServer(
+                address + ": another server answered, status " + reply.status(), reply));
+      }
+      release();
+      sendWaiting();
     }
   }
 }
--- a/daemon/src/test/java/org/verbenawheel/http/HttpConnectionsTest.java
+++ b/daemon/src/test/java/org/verbenawheel/http/HttpConnectionsTest.java
@@ -96,7 +96,8 @@
   }
 
   private static HttpCall call(String path, BooleanSupplier precondition) {
-    return new HttpCall("POST", path, ImmutableMap.of(), "", TIMEOUT, precondition);
+    return new HttpCall("POST", path, ImmutableMap.of(), "", TIMEOUT)
+        .withPrecondition(precondition);
   }
 
   private static void awaitUninterruptibly(CountDownLatch latch) {
