--- a/daemon/src/main/java/org/verbenawheel/http/HttpConnections.java
+++ b/daemon/src/main/java/org/verbenawheel/http/HttpConnections.java
@@ -107,6 +107,9 @@
         .group(eventLoop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        // Without a linger time, closing discards what was not delivered yet, also when the process
+        // is killed. Otherwise the kernel would deliver a request long after its caller gave up.
+        .option(ChannelOption.SO_LINGER, 0)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
         .handler(
             new ChannelInitializer<Channel>() {
--- a/daemon/src/test/java/org/verbenawheel/http/HoldingProxy.java
+++ b/daemon/src/test/java/org/verbenawheel/http/HoldingProxy.java
@@ -1,12 +1,12 @@
 package org.verbenawheel.http;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -18,7 +18,7 @@
  * connection.
  */
 final class HoldingProxy implements AutoCloseable {
-  private static final int BUFFER_BYTES = 4_096;
+  private static final int SILENCE_MILLISECONDS = 200;
 
   private final ServerSocket listener;
   private final InetSocketAddress server;
@@ -60,17 +60,11 @@
   private void carry(Socket client) {
     try (client) {
       healed.await();
-      InputStream fromClient = client.getInputStream();
-      byte[] buffer = new byte[BUFFER_BYTES];
-      // Throws if the client reset the connection, whose unread bytes the kernel has discarded.
-      int length = fromClient.read(buffer);
+      byte[] kept = readAvailable(client);
       try (Socket upstream = new Socket(server.getAddress(), server.getPort())) {
-        OutputStream toServer = upstream.getOutputStream();
-        while (length > 0) {
-          toServer.write(buffer, 0, length);
-          toServer.flush();
-          length = fromClient.read(buffer);
-        }
+        upstream.getOutputStream().write(kept);
+        upstream.getOutputStream().flush();
+        client.getInputStream().transferTo(upstream.getOutputStream());
       }
     } catch (IOException | InterruptedException lost) {
       // The bytes are lost.
@@ -79,6 +73,22 @@
     }
   }
 
+  /**
+   * Returns what the client sent so far.
+   *
+   * @throws IOException if the client reset the connection
+   */
+  private static byte[] readAvailable(Socket client) throws IOException {
+    client.setSoTimeout(SILENCE_MILLISECONDS);
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try {
+      client.getInputStream().transferTo(bytes);
+    } catch (SocketTimeoutException open) {
+      // The client has neither closed nor reset the connection.
+    }
+    return bytes.toByteArray();
+  }
+
   @Override
   public void close() throws IOException {
     listener.close();
