--- a/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
+++ b/daemon/src/main/java/org/verbenawheel/fleet/FleetControl.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -101,7 +102,8 @@
    *
    * @param dataFolder the folder of the replica's log and snapshots
    * @param clock a monotonic clock
-   * @param workerCalls sends orders to workers
+   * @param workerCalls creates the sender of orders to workers, which asks the given supplier
+   *     whether this process may still order, when an order leaves
    * @param hostCalls sends orders about hosts to the platform
    * @param adviser decides which workers may run a step
    */
@@ -109,7 +111,7 @@
       FleetSettings settings,
       Path dataFolder,
       InstantSource clock,
-      WorkerCalls workerCalls,
+      Function<BooleanSupplier, WorkerCalls> workerCalls,
       HostCalls hostCalls,
       PlacementAdviser adviser) {
     this.settings = settings;
@@ -142,7 +144,7 @@
             workers,
             configuration,
             this::commit,
-            workerCalls,
+            workerCalls.apply(orderAuthority::isValid),
             hostCalls,
             adviser,
             waves,
