--- a/core/src/main/java/org/verbenawheel/execution/ReleaseProof.java
+++ b/core/src/main/java/org/verbenawheel/execution/ReleaseProof.java
@@ -16,7 +16,7 @@
   GONE(RunEnding.NOT_STARTED),
   /** Every lease of the worker has expired. */
   LEASES_EXPIRED(RunEnding.LAPSED),
-  /** The worker announced its end. */
+  /** A later incarnation of the worker announced its end. */
   WORKER_LEFT(RunEnding.LAPSED),
   /** Another worker answers at the worker's address. */
   ADDRESS_TAKEN(RunEnding.LAPSED),
--- a/core/src/main/java/org/verbenawheel/execution/RunOrders.java
+++ b/core/src/main/java/org/verbenawheel/execution/RunOrders.java
@@ -73,12 +73,16 @@
   void start(Task task, Optional<String> ticket) {
     Instant now = context.now();
     RunAttempt attempt = attempts.get(task.id());
-    Optional<Long> leaseEnd = attempt == null ? Optional.empty() : session.leases().grant(now);
+    boolean mayStart = attempt != null && !session.isLeaving();
+    Optional<Long> leaseEnd = mayStart ? session.leases().grant(now) : Optional.empty();
     int run = task.run();
     if (attempt == null || leaseEnd.isEmpty()) {
       onStartAnswered();
       onNotStarted(
-          task.id(), new RunAttempt(run), ReleaseProof.NOT_SENT, "the worker's clock is unknown");
+          task.id(),
+          new RunAttempt(run),
+          ReleaseProof.NOT_SENT,
+          "the worker leaves, or its clock is unknown");
       return;
     }
     long token = session.fencingToken();
--- a/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
@@ -239,7 +239,8 @@
   }
 
   /**
-   * Removes a worker that announced its end. The end of an incarnation that is not known is
+   * Removes a worker that announced its end, once its runs have ended: it waits for the answer, and
+   * goes on for seconds if the answer is lost. The end of an incarnation that is not known is
    * recorded too, since its reports may arrive later.
    *
    * @param id the worker
@@ -257,8 +258,18 @@
     if (born > 0) {
       endedIncarnations.merge(id, born, Math::max);
     }
+    WorkerSession session = sessions.get(id);
+    if (session == null || born > registeredBorn || !session.hasBoundRuns()) {
+      return recordEnd(id, born);
+    }
+    return session.leave().thenCompose(unused -> recordEnd(id, born));
+  }
+
+  private CompletableFuture<?> recordEnd(String id, long born) {
     EndWorker end = new EndWorker(id, born);
-    return registered
+    return registry
+        .find(id)
+        .filter(worker -> worker.bornAtMilliseconds() <= born)
         .<CompletableFuture<?>>map(
             worker -> remove(worker, end, ReleaseProof.WORKER_LEFT, "it announced its end"))
         .orElseGet(() -> sink.commit(end));
--- a/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.jspecify.annotations.Nullable;
 import org.verbenawheel.event.Event;
 import org.verbenawheel.event.EventLine;
@@ -56,6 +57,7 @@
   private Instant noTasksBefore;
   private boolean pollRequested;
   private Optional<EndClaim> endClaim = Optional.empty();
+  private Optional<CompletableFuture<?>> leaving = Optional.empty();
 
   /**
    * Creates a session.
@@ -109,6 +111,19 @@
     }
   }
 
+  /**
+   * Ends the runs of a worker that announced its end. It gets no tasks and no lease any more.
+   *
+   * @return completes once nothing is bound to the worker, or another incarnation is there
+   */
+  CompletableFuture<?> leave() {
+    if (leaving.isEmpty()) {
+      leaving = Optional.of(new CompletableFuture<>());
+      requestPoll();
+    }
+    return leaving.get();
+  }
+
   /** Returns the present claim if a poll that was sent at a time can verify it. */
   private Optional<EndClaim> claimBefore(Instant pollSentAt) {
     return endClaim.filter(claim -> !pollSentAt.isBefore(claim.madeAt()));
@@ -118,6 +133,15 @@
     return worker;
   }
 
+  boolean hasBoundRuns() {
+    return !context.jobRegistry().boundTo(worker.id()).isEmpty();
+  }
+
+  /** Returns whether the worker announced its end. */
+  boolean isLeaving() {
+    return leaving.isPresent();
+  }
+
   /** Returns the runs of the worker's last listing, by task name. */
   Map<String, ListedRun> listed() {
     return listed;
@@ -168,6 +192,7 @@
     return !worker.draining()
         && consecutiveFailures == 0
         && endClaim.isEmpty()
+        && leaving.isEmpty()
         && confirmedToken >= context.firstFencingToken()
         && !now.isBefore(noTasksBefore)
         && !context.failureTracker().isQuarantined(worker.id(), now)
@@ -204,6 +229,8 @@
     acknowledgedEnd = 0;
     consecutiveFailures = 0;
     endClaim = Optional.empty();
+    leaving.ifPresent(left -> left.complete(null));
+    leaving = Optional.empty();
     listed = new HashMap<>();
     raiseFence();
   }
@@ -226,6 +253,13 @@
     if (consecutiveFailures > 0 && leases.haveAllExpired(now)) {
       releaseAll(bound, ReleaseProof.LEASES_EXPIRED);
     }
+    if (leaving.isPresent()) {
+      if (bound.isEmpty()) {
+        leaving.get().complete(null);
+        return;
+      }
+      bound.forEach(task -> orders.stop(task.id()));
+    }
     if (confirmedToken >= context.firstFencingToken()) {
       orders.sendStops(bound, now);
     }
@@ -246,9 +280,10 @@
     pollRequested = false;
     pollsInFlight++;
     pollTokenInFlight = token;
-    // The lease of a worker that may be lost is not extended; otherwise its tasks could never run
-    // elsewhere.
-    Optional<Long> leaseEnd = consecutiveFailures == 0 ? leases.grant(now) : Optional.empty();
+    // The lease of a worker that may be lost, or that leaves, is not extended; otherwise its tasks
+    // could never run elsewhere.
+    boolean extendsLease = consecutiveFailures == 0 && leaving.isEmpty();
+    Optional<Long> leaseEnd = extendsLease ? leases.grant(now) : Optional.empty();
     PollRequest order = new PollRequest(token, acknowledgedEnd, leaseEnd, (int) waitMilliseconds);
     Worker polledWorker = worker;
     context.whenDone(
--- a/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
@@ -206,6 +206,26 @@
     assertThat(harness.worker("w2").running()).containsExactly("a.0.0.0/2");
   }
 
+  // TWICE: a worker whose announcement is not acknowledged goes on for seconds.
+  @Test
+  void leavingWorkersTasksRunElsewhereOnlyOnceTheyHaveEnded() {
+    harness.report("w1");
+    harness.advance(Duration.ofSeconds(8));
+    harness.submit("a", StepSpecification.builder().build());
+    harness.advance(Duration.ofMillis(200));
+    harness.report("w2");
+
+    harness.worker("w1").setUnreachable(true);
+    harness.leave("w1");
+    harness.advance(Duration.ofSeconds(3));
+    assertThat(harness.worker("w1").isRunning("a.0.0.0")).isTrue();
+    harness.advance(Duration.ofSeconds(3));
+
+    assertThat(harness.startedTwice()).isEmpty();
+    assertThat(harness.worker("w2").running()).containsExactly("a.0.0.0/2");
+    assertThat(harness.isRegistered("w1")).isFalse();
+  }
+
   @Test
   void lateReportOfAWorkerThatLeftIsIgnored() {
     harness.report("w1");
