--- a/core/src/main/java/org/verbenawheel/execution/FleetContext.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetContext.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.verbenawheel.job.JobRegistry;
 
@@ -24,6 +25,7 @@
  * @param log logs and counts what explains why a task ran more than once
  * @param firstFencingToken the lowest fencing token of this leadership
  * @param leadingSince when this leadership began
+ * @param hasEnded whether this leadership has ended
  */
 record FleetContext(
     JobRegistry jobRegistry,
@@ -37,7 +39,8 @@
     AdviceCache adviceCache,
     ExecutionLog log,
     long firstFencingToken,
-    Instant leadingSince) {
+    Instant leadingSince,
+    BooleanSupplier hasEnded) {
 
   Instant now() {
     return clock.instant();
@@ -53,6 +56,22 @@
             (value, failure) -> stateThread.execute(() -> outcome.accept(value, causeOf(failure))));
   }
 
+  /**
+   * Passes the outcome of a call to a worker on as {@link #whenDone} does, unless this leadership
+   * has ended meanwhile. This process may lead again, and has sent orders since then that this
+   * leadership does not know.
+   */
+  <T> void whenAnswered(
+      CompletableFuture<T> call, BiConsumer<@Nullable T, @Nullable Throwable> outcome) {
+    whenDone(
+        call,
+        (value, failure) -> {
+          if (!hasEnded.getAsBoolean()) {
+            outcome.accept(value, failure);
+          }
+        });
+  }
+
   /** Returns the original failure, without the wrapper that dependent stages add. */
   private static @Nullable Throwable causeOf(@Nullable Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : null;
--- a/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
+++ b/core/src/main/java/org/verbenawheel/execution/FleetLeadership.java
@@ -57,6 +57,7 @@
   private final WaveRegistry waveRegistry;
   private final HostMover hostMover;
   private final SchedulingRounds rounds;
+  private boolean ended;
 
   private FleetLeadership(Factory factory, long term) {
     this.configuration = factory.configuration;
@@ -73,7 +74,8 @@
             new AdviceCache(),
             new ExecutionLog(factory.metrics),
             term * FENCING_TOKENS_PER_TERM,
-            factory.clock.instant());
+            factory.clock.instant(),
+            () -> ended);
     this.roster =
         new WorkerRoster(
             context,
@@ -240,8 +242,11 @@
     return roster;
   }
 
-  /** Ends the leadership; no task is bound or started any more. */
+  /**
+   * Ends the leadership; no task is bound or started any more, and no answer of a worker counts.
+   */
   public void end() {
+    ended = true;
     rounds.end();
     logger.atInfo().log("%s", EventLine.of(Event.FLEET_COMMAND).with("commands", false));
   }
--- a/core/src/main/java/org/verbenawheel/execution/Pacer.java
+++ b/core/src/main/java/org/verbenawheel/execution/Pacer.java
@@ -125,7 +125,7 @@
       return;
     }
     pacePercents.put(task.id(), percent);
-    context.whenDone(
+    context.whenAnswered(
         context
             .calls()
             .pace(
--- a/core/src/main/java/org/verbenawheel/execution/RunOrders.java
+++ b/core/src/main/java/org/verbenawheel/execution/RunOrders.java
@@ -97,7 +97,7 @@
             token,
             task.checkpoint(),
             ticket);
-    context.whenDone(
+    context.whenAnswered(
         context.calls().start(addressee, order),
         (outcome, failure) -> {
           onStartAnswered();
@@ -194,7 +194,7 @@
     unansweredStops++;
     long token = session.fencingToken();
     Worker stoppedWorker = session.worker();
-    context.whenDone(
+    context.whenAnswered(
         context.calls().stop(stoppedWorker, new StopOrder(task, run, token)),
         (reading, failure) -> {
           unansweredStops--;
--- a/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
@@ -286,7 +286,7 @@
     Optional<Long> leaseEnd = extendsLease ? leases.grant(now) : Optional.empty();
     PollRequest order = new PollRequest(token, acknowledgedEnd, leaseEnd, (int) waitMilliseconds);
     Worker polledWorker = worker;
-    context.whenDone(
+    context.whenAnswered(
         context.calls().poll(worker, order),
         (listing, failure) -> {
           pollsInFlight--;
--- a/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
+++ b/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
@@ -31,13 +31,14 @@
   private static final long CLOCK_READING_AFTER_RESTART = 1_000;
   private static final int MAXIMUM_LISTED_ENDS = 500;
   private static final Duration ORDER_TIMEOUT = Duration.ofMillis(900);
+  private static final Duration LISTING_DELAY = Duration.ofMillis(800);
 
   private final String id;
   private final FleetHarness harness;
   private final Map<String, Integer> running = new LinkedHashMap<>();
   private final Map<String, Integer> highestEnded = new LinkedHashMap<>();
   private final List<ListedEnd> ends = new ArrayList<>();
-  private final List<LostStart> lostStarts = new ArrayList<>();
+  private final List<Runnable> lostOrders = new ArrayList<>();
   private long bornAtMilliseconds;
   private long clockOffset = FIRST_CLOCK_READING;
   private long lastEnd;
@@ -56,6 +57,8 @@
   private boolean unreachable;
   private boolean loseNextStart;
   private boolean loseNextAnswer;
+  private boolean loseNextPoll;
+  private boolean delaysListings;
   private boolean holdsAnswers;
   private final List<Runnable> heldAnswers = new ArrayList<>();
   private int mostUnanswered;
@@ -159,10 +162,20 @@
     loseNextAnswer = true;
   }
 
-  /** Carries out the start orders that were lost, which may be seconds old by now. */
-  void deliverLostStarts() {
-    lostStarts.forEach(lost -> carryOut(lost.order()));
-    lostStarts.clear();
+  void loseNextPoll() {
+    loseNextPoll = true;
+  }
+
+  /** Answers polls late, or not in time, until it is called with false. */
+  void delayListings(boolean value) {
+    delaysListings = value;
+  }
+
+  /** Carries out the orders that were lost, which may be seconds old by now. */
+  void deliverLostOrders() {
+    List<Runnable> orders = ImmutableList.copyOf(lostOrders);
+    lostOrders.clear();
+    orders.forEach(Runnable::run);
   }
 
   void endAll(RunEnding ending) {
@@ -187,7 +200,7 @@
     unreachable = false;
     bornAtMilliseconds += 1_000;
     clockOffset = CLOCK_READING_AFTER_RESTART - harness.milliseconds();
-    lostStarts.clear();
+    lostOrders.clear();
     running.clear();
     ends.clear();
     highestEnded.clear();
@@ -205,10 +218,8 @@
   CompletableFuture<StartOutcome> start(StartOrder order) {
     if (loseNextStart) {
       loseNextStart = false;
-      CompletableFuture<StartOutcome> answer = new CompletableFuture<>();
-      lostStarts.add(new LostStart(order, answer));
-      harness.runLater(ORDER_TIMEOUT, () -> answer.completeExceptionally(noAnswer()));
-      return answer;
+      lostOrders.add(() -> carryOut(order));
+      return answerInTime(new CompletableFuture<>());
     }
     if (unreachable) {
       return lost();
@@ -258,9 +269,24 @@
   }
 
   CompletableFuture<Listing> poll(PollRequest order) {
+    if (loseNextPoll) {
+      loseNextPoll = false;
+      lostOrders.add(() -> list(order));
+      return answerInTime(new CompletableFuture<>());
+    }
     if (unreachable) {
       return lost();
     }
+    Listing listing = list(order);
+    if (!delaysListings) {
+      return CompletableFuture.completedFuture(listing);
+    }
+    CompletableFuture<Listing> answer = new CompletableFuture<>();
+    harness.runLater(LISTING_DELAY, () -> answer.complete(listing));
+    return answerInTime(answer);
+  }
+
+  private Listing list(PollRequest order) {
     expire();
     highestToken = Math.max(highestToken, order.fencingToken());
     order.leaseEndMilliseconds().ifPresent(this::extendLease);
@@ -275,13 +301,18 @@
     progress++;
     running.forEach(
         (task, run) -> runs.add(new ListedRun(task, run, "", percent.orElse(progress), load)));
-    return CompletableFuture.completedFuture(
-        new Listing(
-            clock(),
-            Optional.of(bornAtMilliseconds),
-            runs.build(),
-            ends.stream().limit(MAXIMUM_LISTED_ENDS).collect(ImmutableList.toImmutableList()),
-            ends.size() < MAXIMUM_LISTED_ENDS));
+    return new Listing(
+        clock(),
+        Optional.of(bornAtMilliseconds),
+        runs.build(),
+        ends.stream().limit(MAXIMUM_LISTED_ENDS).collect(ImmutableList.toImmutableList()),
+        ends.size() < MAXIMUM_LISTED_ENDS);
+  }
+
+  /** Fails an answer that has not come within the timeout. */
+  private <T> CompletableFuture<T> answerInTime(CompletableFuture<T> answer) {
+    harness.runLater(ORDER_TIMEOUT, () -> answer.completeExceptionally(noAnswer()));
+    return answer;
   }
 
   private void expire() {
@@ -307,7 +338,4 @@
     return new WorkerCallException(
         WorkerCallException.Reason.UNREACHABLE, RunVerdict.MAY_HAVE_RUN, "no answer");
   }
-
-  /** A start order that was sent but not received yet, and its answer. */
-  private record LostStart(StartOrder order, CompletableFuture<StartOutcome> answer) {}
 }
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -303,6 +303,12 @@
     runTasks();
   }
 
+  /** Sends a report that arrives late, when its sender may have ended. */
+  void reportLater(Duration delay, String id) {
+    Worker described = describe(id, false);
+    runLater(delay, () -> report(described));
+  }
+
   /** Returns whether the last report was acknowledged. */
   boolean isLastReportAcknowledged() {
     return lastReport.isDone() && !lastReport.isCompletedExceptionally();
--- a/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
@@ -56,7 +56,7 @@
     harness.advance(Duration.ofSeconds(3));
     assertThat(harness.worker("w1").running()).containsExactly("a.0.0.0/2");
 
-    harness.worker("w1").deliverLostStarts();
+    harness.worker("w1").deliverLostOrders();
 
     assertThat(harness.worker("w1").running()).containsExactly("a.0.0.0/2");
     assertThat(harness.startedTwice()).isEmpty();
@@ -154,7 +154,7 @@
 
     harness.changeLeader();
     harness.advance(Duration.ofSeconds(2));
-    harness.worker("w1").deliverLostStarts();
+    harness.worker("w1").deliverLostOrders();
 
     assertThat(harness.worker("w1").running()).containsExactly("a.0.0.0/2");
     assertThat(harness.startedTwice()).isEmpty();
@@ -173,6 +173,26 @@
   }
 
   @Test
+  // TWICE: a process that led again released what it had bound by a listing from before.
+  @Test
+  void listingOfAnEarlierLeadershipReleasesNoRunsOfTheNext() {
+    harness.report("w1");
+    harness.submit("a", StepSpecification.builder().build());
+    harness.advance(Duration.ofMillis(200));
+    harness.worker("w1").delayListings(true);
+    harness.advance(Duration.ofMillis(100));
+    harness.worker("w1").delayListings(false);
+
+    harness.changeLeader();
+    harness.advance(Duration.ofMillis(100));
+    harness.submit("b", StepSpecification.builder().build());
+    harness.report("w2");
+    harness.advance(Duration.ofSeconds(2));
+
+    assertThat(harness.startedTwice()).isEmpty();
+    assertThat(harness.worker("w1").running()).containsExactly("a.0.0.0/1", "b.0.0.0/1");
+  }
+
   void drainingWorkerGetsNoTasks() {
     harness.report("w1");
     harness.advance(Duration.ofMillis(200));
--- a/core/src/test/java/org/verbenawheel/execution/RestartedWorkerTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/RestartedWorkerTest.java
@@ -32,7 +32,7 @@
   @Test
   void runOrderedBeforeAnUnknownRestartRunsElsewhereOnlyAfterTheLeases() {
     worker.restart();
-    worker.deliverLostStarts();
+    worker.deliverLostOrders();
     worker.setUnreachable(true);
 
     assertThatTaskRunsOnOtherWorkerAfterTheLeases();
@@ -42,7 +42,7 @@
   @Test
   void runOrderedBeforeAReportedRestartRunsElsewhereOnlyAfterTheLeases() {
     worker.restart();
-    worker.deliverLostStarts();
+    worker.deliverLostOrders();
     fleet.report("w1");
     worker.setUnreachable(true);
 
@@ -53,7 +53,7 @@
   @Test
   void orderForTheEarlierIncarnationNeverRunsOnTheNext() {
     worker.restart();
-    worker.deliverLostStarts();
+    worker.deliverLostOrders();
     fleet.report("w1");
     fleet.advance(Duration.ofMillis(100));
     assertThat(worker.running()).containsExactly("a.0.0.0/2");
@@ -73,7 +73,7 @@
     worker.setUnreachable(false);
     fleet.submit("b", StepSpecification.builder().build());
     worker.restart();
-    worker.deliverLostStarts();
+    worker.deliverLostOrders();
     fleet.report("w1");
     worker.setUnreachable(true);
 
--- a/core/src/test/java/org/verbenawheel/execution/RestartedWorkersSeededTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/RestartedWorkersSeededTest.java
@@ -60,10 +60,10 @@
               "job-" + step, StepSpecification.builder().taskCount(1 + random.nextInt(3)).build());
       case 3 -> worker.loseNextStart();
       case 4 -> worker.loseNextAnswer();
-      case 5 -> deliverLostStarts(worker);
+      case 5 -> deliverLostOrders(worker);
       case 6 -> {
         worker.restart();
-        deliverLostStarts(worker);
+        deliverLostOrders(worker);
         if (random.nextBoolean()) {
           fleet.report(id);
         }
@@ -80,9 +80,9 @@
     }
   }
 
-  private static void deliverLostStarts(FakeWorker worker) {
+  private static void deliverLostOrders(FakeWorker worker) {
     if (!worker.isUnreachable()) {
-      worker.deliverLostStarts();
+      worker.deliverLostOrders();
     }
   }
 
