--- a/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerRoster.java
@@ -259,7 +259,10 @@
       endedIncarnations.merge(id, born, Math::max);
     }
     WorkerSession session = sessions.get(id);
-    if (session == null || born > registeredBorn || !session.hasBoundRuns()) {
+    // The session may know of a later incarnation than the registry, which learns it by a report.
+    if (session == null
+        || born > session.worker().bornAtMilliseconds()
+        || !session.hasBoundRuns()) {
       return recordEnd(id, born);
     }
     return session.leave().thenCompose(unused -> recordEnd(id, born));
--- a/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
@@ -46,6 +46,10 @@
   private final WorkerLeases leases;
   private Map<String, ListedRun> listed = new HashMap<>();
   private Worker worker;
+
+  /** Whether this incarnation itself reported its attributes, and the registry knows it. */
+  private boolean recorded = true;
+
   private long fencingToken;
   private long confirmedToken = -1;
   private long pollTokenInFlight = -1;
@@ -189,7 +193,8 @@
 
   /** Returns whether the worker may be given tasks. */
   boolean takesTasks(Instant now) {
-    return !worker.draining()
+    return recorded
+        && !worker.draining()
         && consecutiveFailures == 0
         && endClaim.isEmpty()
         && leaving.isEmpty()
@@ -218,6 +223,7 @@
       resetForNewIncarnation();
     }
     worker = reported;
+    recorded = true;
     lastContactAt = Optional.of(now);
     clockMilliseconds.ifPresent(reading -> leases.onReading(reading, now));
   }
@@ -367,8 +373,8 @@
   }
 
   /**
-   * Handles the answer of another incarnation; returns whether it is a later one. The report of a
-   * new incarnation brings the worker's other attributes.
+   * Handles the answer of another incarnation; returns whether it is a later one. It gets no tasks
+   * before its report: it may be of another kind, and a later leader must know of it.
    */
   @CanIgnoreReturnValue
   private boolean onOtherIncarnation(long born) {
@@ -377,6 +383,7 @@
       return false;
     }
     worker = worker.withBornAtMilliseconds(born);
+    recorded = false;
     resetForNewIncarnation();
     return true;
   }
--- a/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetLeadershipTest.java
@@ -167,12 +167,12 @@
     harness.advance(Duration.ofMillis(200));
 
     harness.worker("w1").restart();
+    harness.report("w1");
     harness.advance(Duration.ofSeconds(3));
 
     assertThat(harness.worker("w1").running()).containsExactly("a.0.0.0/2");
   }
 
-  @Test
   // TWICE: a process that led again released what it had bound by a listing from before.
   @Test
   void listingOfAnEarlierLeadershipReleasesNoRunsOfTheNext() {
@@ -193,6 +193,7 @@
     assertThat(harness.worker("w1").running()).containsExactly("a.0.0.0/1", "b.0.0.0/1");
   }
 
+  @Test
   void drainingWorkerGetsNoTasks() {
     harness.report("w1");
     harness.advance(Duration.ofMillis(200));
--- a/core/src/test/java/org/verbenawheel/execution/RestartedWorkerTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/RestartedWorkerTest.java
@@ -117,6 +117,20 @@
     assertThat(fleet.hasActiveJobs()).isFalse();
   }
 
+  // A new incarnation may be of another kind, with less capacity or without a label.
+  @Test
+  void newIncarnationTakesTasksOnlyAfterItsReport() {
+    fleet.advance(Duration.ofSeconds(3));
+    worker.restart();
+    fleet.advance(Duration.ofSeconds(3));
+    assertThat(worker.running()).isEmpty();
+
+    fleet.report("w1");
+    fleet.advance(Duration.ofMillis(500));
+
+    assertThat(worker.running()).containsExactly("a.0.0.0/3");
+  }
+
   @Test
   void newIncarnationTakesTasksOnlyOnceItConfirmedAFencingToken() {
     fleet.advance(Duration.ofSeconds(3));
