--- a/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
+++ b/core/src/test/java/org/verbenawheel/execution/FakeWorker.java
@@ -334,7 +334,7 @@
     return CompletableFuture.failedFuture(noAnswer());
   }
 
-  private static WorkerCallException noAnswer() {
+  static WorkerCallException noAnswer() {
     return new WorkerCallException(
         WorkerCallException.Reason.UNREACHABLE, RunVerdict.MAY_HAVE_RUN, "no answer");
   }
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -500,12 +500,13 @@
     if (!occupant.id().equals(addressee.id())) {
       return failedCall(WorkerCallException.Reason.OTHER_WORKER);
     }
-    boolean intended = occupant.bornAtMilliseconds() == addressee.bornAtMilliseconds();
-    if (!intended && !occupant.isUnreachable()) {
-      return CompletableFuture.failedFuture(
-          WorkerCallException.otherIncarnation(addressee, occupant.bornAtMilliseconds()));
+    if (occupant.bornAtMilliseconds() == addressee.bornAtMilliseconds()) {
+      return order.apply(occupant);
     }
-    return order.apply(occupant);
+    return CompletableFuture.failedFuture(
+        occupant.isUnreachable()
+            ? FakeWorker.noAnswer()
+            : WorkerCallException.otherIncarnation(addressee, occupant.bornAtMilliseconds()));
   }
 
   private static <T> CompletableFuture<T> failedCall(WorkerCallException.Reason reason) {
--- a/core/src/test/java/org/verbenawheel/execution/RestartedWorkersSeededTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/RestartedWorkersSeededTest.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Random;
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -13,8 +14,9 @@
 import org.verbenawheel.job.StepSpecification;
 
 /**
- * Draws restarts of workers under their ids, lost and late start orders, late answers, cuts and
- * changes of the leader, and checks from what the workers saw that no task runs twice.
+ * Draws restarts of workers under their ids, also twice in one cut, orders and polls that are lost
+ * or carried out late, late answers and reports, workers that announce their end and go on, cuts
+ * and changes of the leader, and checks from what the workers saw that no task runs twice.
  */
 final class RestartedWorkersSeededTest {
   private static final int STEPS = 150;
@@ -54,21 +56,14 @@
   private static void draw(FleetHarness fleet, Random random, int step) {
     String id = WORKERS.get(random.nextInt(WORKERS.size()));
     FakeWorker worker = fleet.worker(id);
-    switch (random.nextInt(12)) {
+    switch (random.nextInt(17)) {
       case 0, 1, 2 ->
           fleet.submit(
               "job-" + step, StepSpecification.builder().taskCount(1 + random.nextInt(3)).build());
       case 3 -> worker.loseNextStart();
       case 4 -> worker.loseNextAnswer();
       case 5 -> deliverLostOrders(worker);
-      case 6 -> {
-        worker.restart();
-        deliverLostOrders(worker);
-        if (random.nextBoolean()) {
-          fleet.report(id);
-        }
-        worker.setUnreachable(random.nextBoolean());
-      }
+      case 6 -> restart(fleet, random, id);
       case 7 -> worker.setUnreachable(true);
       case 8 -> {
         worker.setUnreachable(false);
@@ -76,6 +71,16 @@
       }
       case 9 -> fleet.changeLeader();
       case 10 -> worker.holdAnswers(random.nextBoolean());
+      case 11 -> worker.loseNextPoll();
+      case 12 -> worker.delayListings(random.nextBoolean());
+      case 13 -> fleet.reportLater(Duration.ofMillis(random.nextInt(5_000)), id);
+      case 14 -> leave(fleet, random, id);
+      case 15 -> {
+        worker.setUnreachable(true);
+        restart(fleet, random, id);
+        fleet.advance(Duration.ofMillis(random.nextInt(500)));
+        restart(fleet, random, id);
+      }
       default -> worker.endAll(RunEnding.DONE);
     }
   }
@@ -86,15 +91,40 @@
     }
   }
 
+  private static void restart(FleetHarness fleet, Random random, String id) {
+    fleet.worker(id).restart();
+    if (random.nextBoolean()) {
+      fleet.report(id);
+    }
+    fleet.worker(id).setUnreachable(random.nextBoolean());
+  }
+
+  /** Announces the end of a worker, which goes on for seconds if it gets no answer. */
+  private static void leave(FleetHarness fleet, Random random, String id) {
+    FakeWorker worker = fleet.worker(id);
+    long born = worker.bornAtMilliseconds();
+    worker.setUnreachable(random.nextBoolean());
+    fleet.leave(id, Optional.of(born));
+    fleet.runLater(
+        Duration.ofMillis(random.nextInt(4_000)),
+        () -> {
+          if (worker.bornAtMilliseconds() == born) {
+            worker.restart();
+          }
+        });
+  }
+
   /** Lets all jobs complete. */
   private static void settle(FleetHarness fleet) {
     for (String id : WORKERS) {
       fleet.worker(id).holdAnswers(false);
+      fleet.worker(id).delayListings(false);
       fleet.worker(id).setUnreachable(false);
       fleet.report(id);
     }
     for (int round = 0; round < 20 && fleet.hasActiveJobs(); round++) {
       fleet.advance(Duration.ofSeconds(2));
+      WORKERS.forEach(fleet::report);
       WORKERS.forEach(id -> fleet.worker(id).endAll(RunEnding.DONE));
     }
   }
