--- a/daemon/src/main/java/org/verbenawheel/http/IntendedServer.java
+++ b/daemon/src/main/java/org/verbenawheel/http/IntendedServer.java
@@ -18,4 +18,9 @@
     String identity,
     String questionPath,
     String questionBody,
-    Function<HttpReply, Optional<String>> identityReader) {}
+    Function<HttpReply, Optional<String>> identityReader) {
+
+  boolean isSame(IntendedServer other) {
+    return identity.equals(other.identity);
+  }
+}
--- a/daemon/src/main/java/org/verbenawheel/http/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/verbenawheel/http/ServerConnectionPool.java
@@ -1,15 +1,20 @@
 package org.verbenawheel.http;
 
+import com.google.common.collect.ImmutableList;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.verbenawheel.request.RunVerdict;
@@ -19,6 +24,9 @@
  * loop's thread.
  */
 final class ServerConnectionPool {
+  /** Several round trips between availability zones. */
+  private static final Duration QUESTION_TIMEOUT = Duration.ofMillis(450);
+
   private final String address;
   private final EventLoop eventLoop;
   private final int maximumConnections;
@@ -27,6 +35,7 @@
   private final Deque<PendingCall> waiting = new ArrayDeque<>();
   private final Set<Channel> open = new HashSet<>();
   private int connecting;
+  private int asking;
 
   ServerConnectionPool(
       String address,
@@ -53,48 +62,107 @@
   }
 
   private void sendWaiting() {
-    while (!waiting.isEmpty() && !idle.isEmpty()) {
-      if (!waiting.getFirst().call.precondition().getAsBoolean()) {
-        failPrecondition(waiting.removeFirst());
-        continue;
+    for (PendingCall pending : ImmutableList.copyOf(waiting)) {
+      if (idle.isEmpty()) {
+        break;
       }
-      ServerConnection connection = takeIdle(waiting.getFirst().call);
-      if (connection.isOpen()) {
-        send(connection, waiting.removeFirst());
+      if (!pending.call.precondition().getAsBoolean()) {
+        waiting.remove(pending);
+        pending.fail(RunVerdict.NOT_RUN, address + ": not sent, its precondition no longer holds");
+      } else {
+        sendIfPossible(pending);
       }
     }
-    while (connecting < waiting.size() && open.size() + connecting < maximumConnections) {
+    while (connecting + asking < waiting.size() && open.size() + connecting < maximumConnections) {
       connect();
     }
   }
 
-  /** Removes the most suitable idle connection; it may belong to another process or be closed. */
-  private ServerConnection takeIdle(HttpCall call) {
-    ServerConnection chosen =
-        call.intendedServer()
-            .flatMap(
-                server -> idle.stream().filter(connection -> connection.isTo(server)).findFirst())
-            .orElseGet(idle::getLast);
-    idle.remove(chosen);
-    return chosen;
+  /** Sends a request over a suitable idle connection, or makes one suitable. */
+  private void sendIfPossible(PendingCall pending) {
+    idle.removeIf(connection -> !connection.isOpen());
+    Optional<IntendedServer> server = pending.call.intendedServer();
+    Predicate<ServerConnection> isSuitable =
+        connection -> server.isEmpty() || connection.isTo(server.get());
+    Optional<ServerConnection> suitable = takeIdle(isSuitable);
+    if (suitable.isPresent()) {
+      waiting.remove(pending);
+      pending.connection = suitable.get();
+      suitable.get().write(pending.call, new RequestAnswer(suitable.get(), pending));
+      return;
+    }
+    Optional<ServerConnection> unidentified = takeIdle(connection -> !connection.isIdentified());
+    if (unidentified.isPresent()) {
+      ask(unidentified.get(), pending.call, server.orElseThrow());
+      return;
+    }
+    // Its process may have ended unnoticed, and the intended one may be at the address by now.
+    takeIdle(connection -> true).ifPresent(ServerConnection::reset);
   }
 
-  /** Sends a request, or first the question which process is at the other end. */
-  private void send(ServerConnection connection, PendingCall pending) {
-    pending.connection = connection;
-    Optional<IntendedServer> server = pending.call.intendedServer();
-    if (server.isEmpty() || connection.isTo(server.get())) {
-      pending.sent = true;
-      connection.write(pending.call, new RequestAnswer(connection, pending));
-    } else if (connection.isIdentified()) {
-      // Its process may have ended unnoticed, and the intended one may be at the address by now.
-      connection.reset();
-      waiting.addFirst(pending);
-      pending.connection = null;
-    } else {
-      connection.write(
-          pending.call.toQuestion(server.get()),
-          new QuestionAnswer(connection, pending, server.get()));
+  /** Removes the idle connection that was used last, of those that match. */
+  private Optional<ServerConnection> takeIdle(Predicate<ServerConnection> condition) {
+    Iterator<ServerConnection> latestFirst = idle.descendingIterator();
+    while (latestFirst.hasNext()) {
+      ServerConnection connection = latestFirst.next();
+      if (condition.test(connection)) {
+        latestFirst.remove();
+        return Optional.of(connection);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Asks which process is at the other end of a connection; requests wait meanwhile. */
+  private void ask(ServerConnection connection, HttpCall call, IntendedServer server) {
+    asking++;
+    Future<?> timeout =
+        eventLoop.schedule(connection::reset, QUESTION_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    connection.write(
+        call.toQuestion(server),
+        new ServerConnection.AnswerListener() {
+          @Override
+          public void onReply(HttpReply reply) {
+            asking--;
+            timeout.cancel(false);
+            onIdentified(connection, server, reply);
+          }
+
+          @Override
+          public void onFailed(String reason) {
+            asking--;
+            // After a timeout another connection is tried; a server that ends connections would
+            // end that one too.
+            if (timeout.cancel(false)) {
+              failWaitingFor(
+                  server, new HttpCallException(RunVerdict.NOT_RUN, address + ": " + reason));
+            }
+            sendWaiting();
+          }
+        });
+  }
+
+  /** Fails the requests for a process at once if another one answered. */
+  private void onIdentified(ServerConnection connection, IntendedServer asked, HttpReply reply) {
+    asked.identityReader().apply(reply).ifPresent(connection::identify);
+    if (connection.isOpen()) {
+      idle.addLast(connection);
+    }
+    if (!connection.isTo(asked)) {
+      failWaitingFor(
+          asked,
+          HttpCallException.otherServer(
+              address + ": another server answered, status " + reply.status(), reply));
+    }
+    sendWaiting();
+  }
+
+  private void failWaitingFor(IntendedServer server, HttpCallException failure) {
+    for (PendingCall pending : ImmutableList.copyOf(waiting)) {
+      if (pending.call.intendedServer().filter(server::isSame).isPresent()) {
+        waiting.remove(pending);
+        pending.fail(failure);
+      }
     }
   }
 
@@ -129,15 +197,11 @@
       waiting.remove(pending);
       pending.fail(RunVerdict.NOT_RUN, address + ": no connection within the timeout");
     } else {
-      pending.fail(pending.verdictWithoutAnswer(), address + ": no answer within the timeout");
+      pending.fail(RunVerdict.MAY_HAVE_RUN, address + ": no answer within the timeout");
       connection.reset();
     }
   }
 
-  private void failPrecondition(PendingCall pending) {
-    pending.fail(RunVerdict.NOT_RUN, address + ": not sent, its precondition no longer holds");
-  }
-
   /** Fails the waiting requests as not run and closes all connections. */
   void close() {
     failWaiting("the connections are closed");
@@ -146,29 +210,18 @@
     }
   }
 
-  /** A request whose outcome is not known yet. */
+  /** A request whose outcome is not known yet; it has a connection once it was sent. */
   private static final class PendingCall {
     private final HttpCall call;
     private final CompletableFuture<HttpReply> reply;
-
-    /** The connection that it was assigned to, if any. */
     private @Nullable ServerConnection connection;
-
-    /** Whether it was sent itself, and not only the question that precedes it. */
-    private boolean sent;
-
-    private java.util.concurrent.@Nullable Future<?> timeout;
+    private @Nullable Future<?> timeout;
 
     PendingCall(HttpCall call, CompletableFuture<HttpReply> reply) {
       this.call = call;
       this.reply = reply;
     }
 
-    /** Returns whether the caller has not been told an outcome yet. */
-    boolean isWaitedFor() {
-      return !reply.isDone();
-    }
-
     void succeed(HttpReply answer) {
       cancelTimeout();
       reply.complete(answer);
@@ -183,10 +236,6 @@
       reply.completeExceptionally(failure);
     }
 
-    RunVerdict verdictWithoutAnswer() {
-      return sent ? RunVerdict.MAY_HAVE_RUN : RunVerdict.NOT_RUN;
-    }
-
     private void cancelTimeout() {
       if (timeout != null) {
         timeout.cancel(false);
@@ -194,67 +243,28 @@
     }
   }
 
-  /** Receives the answer on one connection, then makes the connection available again. */
-  private abstract class Answer implements ServerConnection.AnswerListener {
-    final ServerConnection connection;
-    final PendingCall pending;
+  /** Passes the answer to a request on, and makes its connection available again. */
+  private final class RequestAnswer implements ServerConnection.AnswerListener {
+    private final ServerConnection connection;
+    private final PendingCall pending;
 
-    Answer(ServerConnection connection, PendingCall pending) {
+    RequestAnswer(ServerConnection connection, PendingCall pending) {
       this.connection = connection;
       this.pending = pending;
     }
 
     @Override
-    public void onFailed(String reason) {
-      pending.fail(pending.verdictWithoutAnswer(), address + ": " + reason);
-      sendWaiting();
-    }
-
-    void release() {
+    public void onReply(HttpReply reply) {
       if (connection.isOpen()) {
         idle.addLast(connection);
       }
-    }
-  }
-
-  /** Passes the answer to a request on. */
-  private final class RequestAnswer extends Answer {
-    RequestAnswer(ServerConnection connection, PendingCall pending) {
-      super(connection, pending);
-    }
-
-    @Override
-    public void onReply(HttpReply reply) {
-      release();
       pending.succeed(reply);
       sendWaiting();
     }
-  }
-
-  /** Sends the request if the answer shows that the intended process is there. */
-  private final class QuestionAnswer extends Answer {
-    private final IntendedServer server;
-
-    QuestionAnswer(ServerConnection connection, PendingCall pending, IntendedServer server) {
-      super(connection, pending);
-      this.server = server;
-    }
 
     @Override
-    public void onReply(HttpReply reply) {
-      server.identityReader().apply(reply).ifPresent(connection::identify);
-      boolean mayStillBeSent = pending.isWaitedFor() && connection.isOpen();
-      if (mayStillBeSent && !pending.call.precondition().getAsBoolean()) {
-        failPrecondition(pending);
-      } else if (mayStillBeSent && connection.isTo(server)) {
-        send(connection, pending);
-        return;
-      } else {
-        pending.fail(
-            HttpCallException.otherServer(
-                address + ": another server answered, status " + reply.status(), reply));
-      }
-      release();
+    public void onFailed(String reason) {
+      pending.fail(RunVerdict.MAY_HAVE_RUN, address + ": " + reason);
       sendWaiting();
     }
   }
