--- a/daemon/src/main/java/org/verbenawheel/http/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/verbenawheel/http/ServerConnectionPool.java
@@ -1,7 +1,6 @@
 package org.verbenawheel.http;
 
 import com.google.common.collect.ImmutableList;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
@@ -33,7 +32,8 @@
   private final Supplier<ChannelFuture> connector;
   private final Deque<ServerConnection> idle = new ArrayDeque<>();
   private final Deque<PendingCall> waiting = new ArrayDeque<>();
-  private final Set<Channel> open = new HashSet<>();
+  private final Set<ServerConnection> open = new HashSet<>();
+  private Optional<ServerSighting> lastSighting = Optional.empty();
   private int connecting;
   private int asking;
 
@@ -91,9 +91,13 @@
       suitable.get().write(pending.call, new RequestAnswer(suitable.get(), pending));
       return;
     }
-    Optional<ServerConnection> unidentified = takeIdle(connection -> !connection.isIdentified());
-    if (unidentified.isPresent()) {
-      ask(unidentified.get(), pending.call, server.orElseThrow());
+    Predicate<ServerConnection> isUnidentified = connection -> !connection.isIdentified();
+    if (idle.stream().anyMatch(isUnidentified)) {
+      // The answer on one connection identifies those that were opened before it was asked.
+      if (asking == 0) {
+        takeIdle(isUnidentified)
+            .ifPresent(connection -> ask(connection, pending.call, server.orElseThrow()));
+      }
       return;
     }
     // Its process may have ended unnoticed, and the intended one may be at the address by now.
@@ -116,6 +120,7 @@
   /** Asks which process is at the other end of a connection; requests wait meanwhile. */
   private void ask(ServerConnection connection, HttpCall call, IntendedServer server) {
     asking++;
+    long sentAt = System.nanoTime();
     Future<?> timeout =
         eventLoop.schedule(connection::reset, QUESTION_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     connection.write(
@@ -125,7 +130,7 @@
           public void onReply(HttpReply reply) {
             asking--;
             timeout.cancel(false);
-            onIdentified(connection, server, reply);
+            onQuestionAnswered(connection, server, reply, sentAt);
           }
 
           @Override
@@ -143,8 +148,16 @@
   }
 
   /** Fails the requests for a process at once if another one answered. */
-  private void onIdentified(ServerConnection connection, IntendedServer asked, HttpReply reply) {
-    asked.identityReader().apply(reply).ifPresent(connection::identify);
+  private void onQuestionAnswered(
+      ServerConnection connection, IntendedServer asked, HttpReply reply, long sentAt) {
+    asked
+        .identityReader()
+        .apply(reply)
+        .ifPresent(
+            identity -> {
+              connection.identify(identity);
+              onSeen(identity, sentAt);
+            });
     if (connection.isOpen()) {
       idle.addLast(connection);
     }
@@ -157,6 +170,24 @@
     sendWaiting();
   }
 
+  /**
+   * Records that a process answered a request. It was there since its first answer, so that the
+   * connections that were opened meanwhile lead to it.
+   *
+   * @param sentAt when the request was sent, as in {@link System#nanoTime()}
+   */
+  private void onSeen(String identity, long sentAt) {
+    Optional<ServerSighting> earlier = lastSighting.filter(seen -> seen.isOf(identity));
+    if (earlier.isEmpty()) {
+      lastSighting = Optional.of(new ServerSighting(identity, System.nanoTime()));
+      return;
+    }
+    open.stream()
+        .filter(connection -> !connection.isIdentified())
+        .filter(connection -> connection.wasOpenedBetween(earlier.get().firstAt(), sentAt))
+        .forEach(connection -> connection.identify(identity));
+  }
+
   private void failWaitingFor(IntendedServer server, HttpCallException failure) {
     for (PendingCall pending : ImmutableList.copyOf(waiting)) {
       if (pending.call.intendedServer().filter(server::isSame).isPresent()) {
@@ -168,16 +199,18 @@
 
   private void connect() {
     connecting++;
+    long startedAt = System.nanoTime();
     connector
         .get()
         .addListener(
             (ChannelFuture future) -> {
               connecting--;
               if (future.isSuccess()) {
-                Channel channel = future.channel();
-                open.add(channel);
-                channel.closeFuture().addListener(closed -> open.remove(channel));
-                idle.addLast(new ServerConnection(address, channel));
+                ServerConnection connection =
+                    new ServerConnection(address, future.channel(), startedAt, System.nanoTime());
+                open.add(connection);
+                future.channel().closeFuture().addListener(closed -> open.remove(connection));
+                idle.addLast(connection);
               } else if (connecting == 0 && open.isEmpty()) {
                 failWaiting("cannot connect: " + future.cause());
               }
@@ -205,9 +238,7 @@
   /** Fails the waiting requests as not run and closes all connections. */
   void close() {
     failWaiting("the connections are closed");
-    for (Channel channel : Set.copyOf(open)) {
-      var unused = channel.close();
-    }
+    Set.copyOf(open).forEach(ServerConnection::reset);
   }
 
   /** A request whose outcome is not known yet; it has a connection once it was sent. */
@@ -247,6 +278,7 @@
   private final class RequestAnswer implements ServerConnection.AnswerListener {
     private final ServerConnection connection;
     private final PendingCall pending;
+    private final long sentAt = System.nanoTime();
 
     RequestAnswer(ServerConnection connection, PendingCall pending) {
       this.connection = connection;
@@ -255,6 +287,7 @@
 
     @Override
     public void onReply(HttpReply reply) {
+      connection.identity().ifPresent(identity -> onSeen(identity, sentAt));
       if (connection.isOpen()) {
         idle.addLast(connection);
       }
