--- a/daemon/src/main/java/org/verbenawheel/http/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/verbenawheel/http/ServerConnectionPool.java
@@ -24,7 +24,7 @@
  */
 final class ServerConnectionPool {
   /** Several round trips between availability zones. */
-  private static final Duration QUESTION_TIMEOUT = Duration.ofMillis(450);
+  private static final Duration QUESTION_TIMEOUT = Duration.ofMillis(250);
 
   private final String address;
   private final EventLoop eventLoop;
@@ -91,13 +91,9 @@
       suitable.get().write(pending.call, new RequestAnswer(suitable.get(), pending));
       return;
     }
-    Predicate<ServerConnection> isUnidentified = connection -> !connection.isIdentified();
-    if (idle.stream().anyMatch(isUnidentified)) {
-      // The answer on one connection identifies those that were opened before it was asked.
-      if (asking == 0) {
-        takeIdle(isUnidentified)
-            .ifPresent(connection -> ask(connection, pending.call, server.orElseThrow()));
-      }
+    Optional<ServerConnection> unidentified = takeIdle(connection -> !connection.isIdentified());
+    if (unidentified.isPresent()) {
+      ask(unidentified.get(), pending.call, server.orElseThrow());
       return;
     }
     // Its process may have ended unnoticed, and the intended one may be at the address by now.
