--- a/daemon/src/main/java/org/verbenawheel/http/ServerConnection.java
+++ b/daemon/src/main/java/org/verbenawheel/http/ServerConnection.java
@@ -22,21 +22,11 @@
 final class ServerConnection {
   private final String address;
   private final Channel channel;
-  private final long openingAt;
-  private final long openedAt;
   private Optional<String> identity = Optional.empty();
 
-  /**
-   * Creates a connection.
-   *
-   * @param openingAt when its opening began, as in {@link System#nanoTime()}
-   * @param openedAt when it was open, likewise
-   */
-  ServerConnection(String address, Channel channel, long openingAt, long openedAt) {
+  ServerConnection(String address, Channel channel) {
     this.address = address;
     this.channel = channel;
-    this.openingAt = openingAt;
-    this.openedAt = openedAt;
   }
 
   /** Receives the outcome of one request. */
@@ -61,15 +51,6 @@
     return identity.isPresent();
   }
 
-  Optional<String> identity() {
-    return identity;
-  }
-
-  /** Returns whether a process accepted it between two moments, as in {@link System#nanoTime()}. */
-  boolean wasOpenedBetween(long begin, long end) {
-    return openingAt - begin >= 0 && end - openedAt >= 0;
-  }
-
   /** Returns whether a process is known to be at the other end. */
   boolean isTo(IntendedServer server) {
     return identity.equals(Optional.of(server.identity()));
--- a/daemon/src/main/java/org/verbenawheel/http/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/verbenawheel/http/ServerConnectionPool.java
@@ -1,6 +1,7 @@
 package org.verbenawheel.http;
 
 import com.google.common.collect.ImmutableList;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
@@ -23,8 +24,10 @@
  * loop's thread.
  */
 final class ServerConnectionPool {
-  /** Several round trips between availability zones. */
-  private static final Duration QUESTION_TIMEOUT = Duration.ofMillis(250);
+  /**
+   * Several round trips between availability zones, and half of what an order to a worker waits.
+   */
+  private static final Duration QUESTION_TIMEOUT = Duration.ofMillis(450);
 
   private final String address;
   private final EventLoop eventLoop;
@@ -32,8 +35,7 @@
   private final Supplier<ChannelFuture> connector;
   private final Deque<ServerConnection> idle = new ArrayDeque<>();
   private final Deque<PendingCall> waiting = new ArrayDeque<>();
-  private final Set<ServerConnection> open = new HashSet<>();
-  private Optional<ServerSighting> lastSighting = Optional.empty();
+  private final Set<Channel> open = new HashSet<>();
   private int connecting;
   private int asking;
 
@@ -116,7 +118,6 @@
   /** Asks which process is at the other end of a connection; requests wait meanwhile. */
   private void ask(ServerConnection connection, HttpCall call, IntendedServer server) {
     asking++;
-    long sentAt = System.nanoTime();
     Future<?> timeout =
         eventLoop.schedule(connection::reset, QUESTION_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     connection.write(
@@ -126,7 +127,7 @@
           public void onReply(HttpReply reply) {
             asking--;
             timeout.cancel(false);
-            onQuestionAnswered(connection, server, reply, sentAt);
+            onIdentified(connection, server, reply);
           }
 
           @Override
@@ -144,16 +145,8 @@
   }
 
   /** Fails the requests for a process at once if another one answered. */
-  private void onQuestionAnswered(
-      ServerConnection connection, IntendedServer asked, HttpReply reply, long sentAt) {
-    asked
-        .identityReader()
-        .apply(reply)
-        .ifPresent(
-            identity -> {
-              connection.identify(identity);
-              onSeen(identity, sentAt);
-            });
+  private void onIdentified(ServerConnection connection, IntendedServer asked, HttpReply reply) {
+    asked.identityReader().apply(reply).ifPresent(connection::identify);
     if (connection.isOpen()) {
       idle.addLast(connection);
     }
@@ -166,24 +159,6 @@
     sendWaiting();
   }
 
-  /**
-   * Records that a process answered a request. It was there since its first answer, so that the
-   * connections that were opened meanwhile lead to it.
-   *
-   * @param sentAt when the request was sent, as in {@link System#nanoTime()}
-   */
-  private void onSeen(String identity, long sentAt) {
-    Optional<ServerSighting> earlier = lastSighting.filter(seen -> seen.isOf(identity));
-    if (earlier.isEmpty()) {
-      lastSighting = Optional.of(new ServerSighting(identity, System.nanoTime()));
-      return;
-    }
-    open.stream()
-        .filter(connection -> !connection.isIdentified())
-        .filter(connection -> connection.wasOpenedBetween(earlier.get().firstAt(), sentAt))
-        .forEach(connection -> connection.identify(identity));
-  }
-
   private void failWaitingFor(IntendedServer server, HttpCallException failure) {
     for (PendingCall pending : ImmutableList.copyOf(waiting)) {
       if (pending.call.intendedServer().filter(server::isSame).isPresent()) {
@@ -195,18 +170,16 @@
 
   private void connect() {
     connecting++;
-    long startedAt = System.nanoTime();
     connector
         .get()
         .addListener(
             (ChannelFuture future) -> {
               connecting--;
               if (future.isSuccess()) {
-                ServerConnection connection =
-                    new ServerConnection(address, future.channel(), startedAt, System.nanoTime());
-                open.add(connection);
-                future.channel().closeFuture().addListener(closed -> open.remove(connection));
-                idle.addLast(connection);
+                Channel channel = future.channel();
+                open.add(channel);
+                channel.closeFuture().addListener(closed -> open.remove(channel));
+                idle.addLast(new ServerConnection(address, channel));
               } else if (connecting == 0 && open.isEmpty()) {
                 failWaiting("cannot connect: " + future.cause());
               }
@@ -234,7 +207,9 @@
   /** Fails the waiting requests as not run and closes all connections. */
   void close() {
     failWaiting("the connections are closed");
-    Set.copyOf(open).forEach(ServerConnection::reset);
+    for (Channel channel : Set.copyOf(open)) {
+      var unused = channel.close();
+    }
   }
 
   /** A request whose outcome is not known yet; it has a connection once it was sent. */
@@ -274,7 +249,6 @@
   private final class RequestAnswer implements ServerConnection.AnswerListener {
     private final ServerConnection connection;
     private final PendingCall pending;
-    private final long sentAt = System.nanoTime();
 
     RequestAnswer(ServerConnection connection, PendingCall pending) {
       this.connection = connection;
@@ -283,7 +257,6 @@
 
     @Override
     public void onReply(HttpReply reply) {
-      connection.identity().ifPresent(identity -> onSeen(identity, sentAt));
       if (connection.isOpen()) {
         idle.addLast(connection);
       }
