--- a/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
+++ b/core/src/main/java/org/verbenawheel/execution/WorkerSession.java
@@ -216,8 +216,14 @@
         && context.jobRegistry().boundTo(worker.id()).isEmpty();
   }
 
-  /** Updates the worker from its report, which may come from a new incarnation. */
+  /**
+   * Updates the worker from its report, which may come from a new incarnation. A late one of an
+   * earlier incarnation than a call has met is ignored; the registry may not know that one yet.
+   */
   void onReport(Worker reported, Optional<Long> clockMilliseconds) {
+    if (reported.bornAtMilliseconds() < worker.bornAtMilliseconds()) {
+      return;
+    }
     Instant now = context.now();
     if (!reported.isSameIncarnation(worker)) {
       resetForNewIncarnation();
--- a/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
+++ b/core/src/test/java/org/verbenawheel/execution/FleetHarness.java
@@ -413,6 +413,11 @@
     runTasks();
   }
 
+  /** Returns how often a call met another incarnation than the one that it was meant for. */
+  long otherIncarnationsMet() {
+    return metrics.counter("workers.other-incarnation").getCount();
+  }
+
   /** Returns how many scheduling rounds were run. */
   long rounds() {
     return metrics.timer("scheduling.round").getCount();
--- a/core/src/test/java/org/verbenawheel/execution/RestartedWorkerTest.java
+++ b/core/src/test/java/org/verbenawheel/execution/RestartedWorkerTest.java
@@ -131,6 +131,21 @@
     assertThat(worker.running()).containsExactly("a.0.0.0/3");
   }
 
+  // The worker was taken for its earlier incarnation again, and its leases counted anew.
+  @Test
+  void lateReportOfTheEarlierIncarnationDoesNotReplaceTheOneThatACallHasMet() {
+    fleet.advance(Duration.ofSeconds(3));
+    fleet.reportLater(Duration.ofMillis(500), "w1");
+    worker.restart();
+    fleet.advance(Duration.ofMillis(450));
+    fleet.submit("b", StepSpecification.builder().build());
+    fleet.advance(Duration.ofMillis(200));
+
+    fleet.report("w1");
+
+    assertThat(fleet.otherIncarnationsMet()).isEqualTo(1);
+  }
+
   @Test
   void newIncarnationTakesTasksOnlyOnceItConfirmedAFencingToken() {
     fleet.advance(Duration.ofSeconds(3));
