--- a/daemon/src/main/java/org/verbenawheel/http/ServerConnectionPool.java
+++ b/daemon/src/main/java/org/verbenawheel/http/ServerConnectionPool.java
@@ -24,10 +24,8 @@
  * loop's thread.
  */
 final class ServerConnectionPool {
-  /**
-   * Several round trips between availability zones, and half of what an order to a worker waits.
-   */
-  private static final Duration QUESTION_TIMEOUT = Duration.ofMillis(450);
+  /** Several round trips between availability zones; an order can wait for three questions. */
+  private static final Duration QUESTION_TIMEOUT = Duration.ofMillis(250);
 
   private final String address;
   private final EventLoop eventLoop;
