--- a/review/standin-3/src/review3/BusyEntry.java
+++ b/review/standin-3/src/review3/BusyEntry.java
@@ -10,7 +10,7 @@
   private static final int PER_SECOND = 110;
 
   private static final int PER_SECOND_WITHOUT_BURST = 4;
-  private static final int CLIENTS = 24;
+  private static final int CLIENTS = 96;
   private static final int LOOKS = 3;
   private static final int SPEC_BYTES = 4_000;
   private static final int TIME_LIMIT_MS = 3_000;
--- a/review/standin-3/src/review3/Main.java
+++ b/review/standin-3/src/review3/Main.java
@@ -19,6 +19,7 @@
             case "busy-entry" -> BusyEntry.play(setting, trouble);
             case "lasting" -> Lasting.play(setting, trouble);
             case "same-place" -> SamePlace.play(setting, trouble);
+            case "large" -> LargeSubmissions.play(setting, trouble);
             case "dropped-route" -> DroppedRoute.play(setting, trouble);
             default -> 2;
           };
