review/11: a runner that was cut off once is never used again

Cause: WorkerSession polls a worker only while something is bound to it or its token is unconfirmed. After the leases of an unreachable worker have expired its runs are released and nothing is bound; consecutiveFailures stays above 0, and takesTasks() with it. Reports keep it from being forgotten. Ruled out: a runner that does not report (it does, each 1.5 s, and gets 200), missing room (two sound runners without a sibling stand empty).

--- a/review/standin-3/src/review3/Main.java
+++ b/review/standin-3/src/review3/Main.java
@@ -19,8 +19,8 @@
             case "busy-entry" -> BusyEntry.play(setting, trouble);
             case "lasting" -> Lasting.play(setting, trouble);
             case "same-place" -> SamePlace.play(setting, trouble);
-            case "large" -> LargeSubmissions.play(setting, trouble);
-            case "dropped-route" -> DroppedRoute.play(setting, trouble);
+            case "cut-off" -> CutOff.play(setting, trouble);
+            case "pending" -> Pending.play(setting, trouble);
             default -> 2;
           };
     } catch (Exception failed) {
--- a/review/standin-3/src/review3/Runner.java
+++ b/review/standin-3/src/review3/Runner.java
@@ -54,6 +54,12 @@
   private long sequence;
   private volatile boolean ended;
 
+  /** Whether the runner is unhealthy: it does nothing on an order to start, and answers 503. */
+  volatile boolean unhealthy;
+
+  /** Whether the runner is cut off from all machines; it runs on. */
+  volatile boolean cutOff;
+
   /** Whether starts and ends are left out of the record. */
   volatile boolean quiet;
 
@@ -78,7 +84,7 @@
     this.fates = fates;
     this.controls = controls;
     this.record = record;
-    this.server = Web.serve(ip, port, this::handle);
+    this.server = Web.serve(ip, port, this::handleUnlessCutOff);
     thread(this::work);
     thread(this::beat);
   }
@@ -111,6 +117,19 @@
     }
   }
 
+  /** Loses calls that arrive during a cut, and answers that leave during one. */
+  private Web.Answer handleUnlessCutOff(
+      String method, String path, Map<String, String> headers, String body) throws Exception {
+    Web.Answer answer = cutOff ? null : handle(method, path, headers, body);
+    if (!cutOff) {
+      return answer;
+    }
+    while (cutOff && !ended) {
+      sleep(50);
+    }
+    return null;
+  }
+
   private synchronized Web.Answer handle(
       String method, String path, Map<String, String> headers, String body) throws Exception {
     if (ended) {
@@ -157,6 +176,10 @@
   private Web.Answer start(Map<String, Object> call) {
     String task = (String) call.get("task");
     int run = (int) number(call, "run_id");
+    if (unhealthy) {
+      record.line("runner %s is unhealthy and refuses %s run %d", id, task, run);
+      return answer(503, Map.of());
+    }
     Run present = running.get(task);
     if (present != null && present.run == run) {
       extend(call);
@@ -259,6 +282,10 @@
   private void beat() {
     int next = Math.floorMod(id.hashCode(), 7);
     while (!ended) {
+      if (cutOff) {
+        sleep(50);
+        continue;
+      }
       sequence++;
       String body =
           Json.write(
